--- a/crates/buckthornturn/schema/mesh.capnp
+++ b/crates/buckthornturn/schema/mesh.capnp
@@ -97,7 +97,7 @@
     pullPlans @7 :List(KnownPlan);
     pushPlans @8 :List(FloorPlan);
     borrowTokens :group {
-      tenant @9 :Text;
+      customer @9 :Text;
       microTokens @10 :UInt64;
       ratePpm @11 :UInt32;
     }
--- a/crates/buckthornturn/src/admission/budget_gate.rs
+++ b/crates/buckthornturn/src/admission/budget_gate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coordination::ids::TenantId;
+use coordination::ids::CustomerId;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use kameo::actor::Spawn;
@@ -16,6 +16,7 @@
 use crate::admission::ConfirmPlan;
 use crate::admission::FloorPlanner;
 use crate::admission::OwnHost;
+use crate::admission::customer_account::SpendOutcome;
 use crate::admission::floor_rules::token_cost;
 use crate::admission::floor_tracker::track_floors;
 use crate::admission::gate_core::SlotOutcome;
@@ -25,7 +26,6 @@
 use crate::admission::service_line::SlotChoice;
 use crate::admission::slot_borrower::borrow_slots;
 use crate::admission::slot_guard::SlotGuard;
-use crate::admission::tenant_account::SpendOutcome;
 use crate::admission::token_round::run_rounds;
 use crate::configuration::ConfigurationCell;
 use crate::interface::AdmissionGate;
@@ -44,7 +44,7 @@
 
 /// Tokens that a request has spent, given back if it is refused.
 struct SpentTokens {
-    tenant: TenantId,
+    customer: CustomerId,
     amount: u64,
 }
 
@@ -163,8 +163,8 @@
         &self,
         request: &AdmissionRequest,
     ) -> Result<Option<SpentTokens>, AdmissionRefusal> {
-        let tenant = match &request.tenant {
-            Some(tenant) if request.attempt == 0 => tenant,
+        let customer = match &request.customer {
+            Some(customer) if request.attempt == 0 => customer,
             _ => return Ok(None),
         };
         let state = self.shared.cell.load();
@@ -173,7 +173,7 @@
         let outcome = {
             let mut core = self.shared.lock();
             core.check_pause(now);
-            match core.tenants.get_mut(tenant) {
+            match core.customers.get_mut(customer) {
                 Some(account) => account.spend(amount, now),
                 None => SpendOutcome::Refused(RETRY_AFTER),
             }
@@ -182,7 +182,7 @@
             SpendOutcome::Spent => Ok(()),
             SpendOutcome::Refused(retry_after) => Err(retry_after),
             SpendOutcome::Waiting(receiver) => {
-                tokio::spawn(run_rounds(Arc::clone(&self.shared), tenant.clone()));
+                tokio::spawn(run_rounds(Arc::clone(&self.shared), customer.clone()));
                 let wait = request.deadline.saturating_duration_since(now).min(MAX_TOKEN_WAIT);
                 match tokio::time::timeout(wait, receiver).await {
                     Ok(Ok(answer)) => answer,
@@ -191,16 +191,16 @@
             }
         };
         match answer {
-            Ok(()) => Ok(Some(SpentTokens { tenant: tenant.clone(), amount })),
+            Ok(()) => Ok(Some(SpentTokens { customer: customer.clone(), amount })),
             Err(retry_after) => {
-                info!("rate exceeded", kv: { request_id: = request.request_id, tenant: = tenant });
+                info!("rate exceeded", kv: { request_id: = request.request_id, customer: = customer });
                 Err(AdmissionRefusal::RateExceeded { retry_after })
             }
         }
     }
 
     fn refund(&self, spent: &SpentTokens) {
-        if let Some(account) = self.shared.lock().tenants.get_mut(&spent.tenant) {
+        if let Some(account) = self.shared.lock().customers.get_mut(&spent.customer) {
             account.budget.refund(spent.amount, clock());
         }
     }
--- a/crates/buckthornturn/src/admission/budget_report.rs
+++ b/crates/buckthornturn/src/admission/budget_report.rs
@@ -3,32 +3,32 @@
 use std::time::Instant;
 
 use coordination::held_slots::HeldSlots;
+use coordination::ids::CustomerId;
 use coordination::ids::HostId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use coordination::token_bucket::MICRO_TOKENS;
 use serde::Serialize;
 
+use crate::admission::customer_account::CustomerAccount;
 use crate::admission::gate_core::GateCore;
 use crate::admission::target_slots::TargetSlots;
-use crate::admission::tenant_account::TenantAccount;
 
 /// Budgets of one host now.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct BudgetReport {
     /// Whether floors are unused since a pause.
     pub paused: bool,
-    /// Tenants' tokens here.
-    pub tenants: Vec<TenantRow>,
+    /// Customers' tokens here.
+    pub customers: Vec<CustomerRow>,
     /// Targets' slots here.
     pub targets: Vec<TargetRow>,
 }
 
-/// A tenant's tokens on one host.
+/// A customer's tokens on one host.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct TenantRow {
-    /// Tenant.
-    pub tenant: TenantId,
+pub struct CustomerRow {
+    /// Customer.
+    pub customer: CustomerId,
     /// Rate of the floor held here, in tokens a second.
     pub floor_rate: f64,
     /// Rate now, loans included, in tokens a second.
@@ -61,19 +61,19 @@
 impl BudgetReport {
     /// What a gate holds.
     pub(crate) fn of(core: &mut GateCore, now: Instant) -> Self {
-        let tenants = core.tenants.iter_mut();
+        let customers = core.customers.iter_mut();
         Self {
             paused: core.pause.check(now),
-            tenants: tenants.map(|(name, account)| tenant_row(name, account, now)).collect(),
+            customers: customers.map(|(name, account)| customer_row(name, account, now)).collect(),
             targets: core.targets.iter().map(|(name, slots)| target_row(name, slots)).collect(),
         }
     }
 }
 
-fn tenant_row(name: &TenantId, account: &mut TenantAccount, now: Instant) -> TenantRow {
+fn customer_row(name: &CustomerId, account: &mut CustomerAccount, now: Instant) -> CustomerRow {
     let tokens = |micro: u64| micro as f64 / MICRO_TOKENS as f64;
-    TenantRow {
-        tenant: name.clone(),
+    CustomerRow {
+        customer: name.clone(),
         floor_rate: tokens(account.budget.floor().rate),
         rate: tokens(account.budget.rate(now)),
         tokens: tokens(account.budget.level(now)),
--- a/crates/buckthornturn/src/admission/tenant_account.rs
+++ b/crates/buckthornturn/src/admission/customer_account.rs
@@ -1,12 +1,12 @@
-//! A tenant's tokens on this host, and the requests that wait for some.
+//! A customer's tokens on this host, and the requests that wait for some.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use coordination::borrow_plan::BorrowPlan;
 use coordination::borrow_plan::RoundResult;
-use coordination::tenant_budget::TenantBudget;
-use coordination::tenant_budget::TokenLoan;
+use coordination::customer_budget::CustomerBudget;
+use coordination::customer_budget::TokenLoan;
 use tokio::sync::oneshot;
 
 const MAX_TOKEN_WAITERS: usize = 256;
@@ -40,19 +40,19 @@
     sender: oneshot::Sender<TokenAnswer>,
 }
 
-/// A tenant's tokens on this host.
-pub(crate) struct TenantAccount {
-    pub(crate) budget: TenantBudget,
+/// A customer's tokens on this host.
+pub(crate) struct CustomerAccount {
+    pub(crate) budget: CustomerBudget,
     plan: BorrowPlan,
     waiters: Vec<TokenWaiter>,
     /// Requests that waited when the round began.
     in_round: usize,
 }
 
-impl TenantAccount {
+impl CustomerAccount {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
-            budget: TenantBudget::new(now),
+            budget: CustomerBudget::new(now),
             plan: BorrowPlan::new(now),
             waiters: Vec::new(),
             in_round: 0,
--- a/crates/buckthornturn/src/admission/domain_cut.rs
+++ b/crates/buckthornturn/src/admission/domain_cut.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::RateLimit;
 use coordination::floor_share::FloorKind;
 use coordination::floor_share::sharing_domains;
 use coordination::floor_share::units_at;
 use coordination::ids::DomainId;
-use coordination::tenant_budget::RateLimit;
 
 /// Time after a change of the list of domains before a larger part is used, so that hosts that have not seen the
 /// change yet still count with the smaller one.
@@ -41,11 +41,11 @@
     }
 
     /// Part of a limit that a domain has. It is cut into whole tokens, as no host can use a fragment.
-    pub(crate) fn floor(&self, domain: &str, tenant: &str, limit: RateLimit) -> RateLimit {
-        let floor = units_in(&self.domains, domain, tenant, limit);
+    pub(crate) fn floor(&self, domain: &str, customer: &str, limit: RateLimit) -> RateLimit {
+        let floor = units_in(&self.domains, domain, customer, limit);
         match &self.earlier {
             Some((earlier, _)) => {
-                let earlier = units_in(earlier, domain, tenant, limit);
+                let earlier = units_in(earlier, domain, customer, limit);
                 limit.fraction(floor.min(earlier), limit.units())
             }
             None => limit.fraction(floor, limit.units()),
@@ -53,8 +53,8 @@
     }
 }
 
-fn units_in(domains: &[DomainId], domain: &str, tenant: &str, limit: RateLimit) -> u64 {
-    let chosen = sharing_domains(domains.iter(), FloorKind::Tokens, tenant, limit.units());
+fn units_in(domains: &[DomainId], domain: &str, customer: &str, limit: RateLimit) -> u64 {
+    let chosen = sharing_domains(domains.iter(), FloorKind::Tokens, customer, limit.units());
     let position = chosen.iter().position(|name| &***name == domain);
     position.map_or(0, |position| units_at(limit.units(), chosen.len(), position))
 }
--- a/crates/buckthornturn/src/admission/floor_rules.rs
+++ b/crates/buckthornturn/src/admission/floor_rules.rs
@@ -3,23 +3,23 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::RateLimit;
 use coordination::floor_ledger::FloorLedger;
 use coordination::floor_ledger::ShrinkReport;
 use coordination::floor_share::FloorKind;
 use coordination::floor_share::WHOLE_PPM;
 use coordination::ids::Epoch;
 use coordination::slot_ledger::SlotLedger;
-use coordination::tenant_budget::RateLimit;
 use coordination::token_bucket::MICRO_TOKENS;
 use indexmap::IndexMap;
 
+use crate::admission::customer_account::CustomerAccount;
 use crate::admission::gate_core::GateCore;
 use crate::admission::link_meter::LinkMeter;
 use crate::admission::owner_line::end_sequence;
 use crate::admission::owner_line::first_sequence;
 use crate::admission::service_line::ServiceLine;
 use crate::admission::target_slots::TargetSlots;
-use crate::admission::tenant_account::TenantAccount;
 use crate::configuration::ConfigurationState;
 use crate::configuration::ProfileSpec;
 use crate::interface::MemberEntry;
@@ -34,18 +34,18 @@
         self.cut.set(state.domains.keys().cloned().collect(), now);
         self.apply_targets(state);
         self.apply_services(state, now);
-        self.tenants.retain(|name, account| {
-            let is_kept = state.tenants.contains_key(name);
+        self.customers.retain(|name, account| {
+            let is_kept = state.customers.contains_key(name);
             if !is_kept {
                 account.refuse_waiters(now);
             }
             is_kept
         });
-        for name in state.tenants.keys() {
-            self.tenants.entry(name.clone()).or_insert_with(|| TenantAccount::new(now));
+        for name in state.customers.keys() {
+            self.customers.entry(name.clone()).or_insert_with(|| CustomerAccount::new(now));
         }
         self.weights_of =
-            state.tenants.values().map(|spec| (spec.name.clone(), spec.weight)).collect();
+            state.customers.values().map(|spec| (spec.name.clone(), spec.weight)).collect();
         self.links.retain(|ends, _| {
             state.links.values().any(|spec| spec.from == ends.0 && spec.to == ends.1)
         });
@@ -129,7 +129,10 @@
             let queue = profile.map(|profile| profile.queue.clone()).unwrap_or_default();
             let line =
                 self.services.entry(spec.name.clone()).or_insert_with(|| ServiceLine::new(now));
-            line.set_bounds(Duration::from_millis(queue.max_wait_ms), queue.max_waiting_per_tenant);
+            line.set_bounds(
+                Duration::from_millis(queue.max_wait_ms),
+                queue.max_waiting_per_customer,
+            );
             line.retry_percent = profile.map_or(0.0, |profile| profile.retry_budget_percent);
         }
         for spec in state.targets.values() {
@@ -149,22 +152,23 @@
                 && slots.is_listed
                 && ledger.is_some_and(|ledger| ledger.holds(FloorKind::Slots, name));
         }
-        for spec in state.tenants.values() {
+        for spec in state.customers.values() {
             let limit = RateLimit::from_tokens(spec.rate_per_second, spec.burst);
             let floor = match is_paused {
                 true => RateLimit::default(),
                 false => self.token_floor(&spec.name, limit),
             };
-            if let Some(account) = self.tenants.get_mut(&spec.name) {
+            if let Some(account) = self.customers.get_mut(&spec.name) {
                 account.budget.set_floor(limit, floor, now);
             }
         }
         self.apply_links(state, is_paused, now);
     }
 
-    fn token_floor(&self, tenant: &str, limit: RateLimit) -> RateLimit {
-        let held = self.floors.iter().filter(|(_, ledger)| ledger.holds(FloorKind::Tokens, tenant));
-        held.map(|(domain, _)| self.cut.floor(domain, tenant, limit))
+    fn token_floor(&self, customer: &str, limit: RateLimit) -> RateLimit {
+        let held =
+            self.floors.iter().filter(|(_, ledger)| ledger.holds(FloorKind::Tokens, customer));
+        held.map(|(domain, _)| self.cut.floor(domain, customer, limit))
             .fold(RateLimit::default(), RateLimit::plus)
     }
 
@@ -219,7 +223,7 @@
                 .iter()
                 .filter(|(name, slots)| slots.failure_domain == *domain && lost(name))
                 .all(|(_, slots)| slots.is_given_up());
-            let tokens_free = self.tenants.iter_mut().all(|(name, account)| {
+            let tokens_free = self.customers.iter_mut().all(|(name, account)| {
                 !ledger.has_lost(FloorKind::Tokens, name) || !account.budget.has_lent(now)
             });
             if slots_free && tokens_free {
--- a/crates/buckthornturn/src/admission/gate_core.rs
+++ b/crates/buckthornturn/src/admission/gate_core.rs
@@ -3,23 +3,24 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::RateLimit;
 use coordination::fair_queue::QueueRefusal;
 use coordination::fair_queue::QueueTicket;
 use coordination::floor_ledger::FloorLedger;
+use coordination::ids::CustomerId;
 use coordination::ids::DomainId;
 use coordination::ids::HostId;
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use coordination::lease_term::LEASE_TERM;
 use coordination::pause_check::PauseCheck;
-use coordination::tenant_budget::RateLimit;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
 use crate::admission::OwnHost;
+use crate::admission::customer_account::CustomerAccount;
 use crate::admission::domain_cut::DomainCut;
 use crate::admission::link_meter::LinkMeter;
 use crate::admission::owner_line::OwnerLine;
@@ -28,7 +29,6 @@
 use crate::admission::service_line::SlotWaiter;
 use crate::admission::target_slots::SlotSource;
 use crate::admission::target_slots::TargetSlots;
-use crate::admission::tenant_account::TenantAccount;
 use crate::interface::AdmissionRefusal;
 use crate::interface::AdmissionRequest;
 use crate::interface::TargetCandidate;
@@ -36,7 +36,7 @@
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const DECLINE_LIFE: Duration = Duration::from_millis(300);
-const OPEN_TENANT: &str = "";
+const OPEN_CUSTOMER: &str = "";
 
 /// A region that sends and one that receives.
 pub(crate) type LinkEnds = (RegionId, RegionId);
@@ -59,8 +59,8 @@
     pub(crate) pause: PauseCheck,
     pub(crate) revision: Revision,
     pub(crate) cut: DomainCut,
-    pub(crate) tenants: IndexMap<TenantId, TenantAccount>,
-    pub(crate) weights_of: IndexMap<TenantId, u32>,
+    pub(crate) customers: IndexMap<CustomerId, CustomerAccount>,
+    pub(crate) weights_of: IndexMap<CustomerId, u32>,
     pub(crate) targets: IndexMap<TargetId, TargetSlots>,
     pub(crate) services: IndexMap<ServiceId, ServiceLine>,
     pub(crate) links: IndexMap<LinkEnds, LinkMeter>,
@@ -77,7 +77,7 @@
             pause: PauseCheck::new(LEASE_TERM, now),
             revision: 0,
             cut: DomainCut::default(),
-            tenants: IndexMap::new(),
+            customers: IndexMap::new(),
             weights_of: IndexMap::new(),
             targets: IndexMap::new(),
             services: IndexMap::new(),
@@ -159,7 +159,7 @@
             slots.is_open = false;
         }
         let nothing = RateLimit::default();
-        for account in self.tenants.values_mut() {
+        for account in self.customers.values_mut() {
             if account.budget.floor() != nothing {
                 let limit = account.budget.limit();
                 account.budget.set_floor(limit, nothing, now);
@@ -266,14 +266,14 @@
         request: AdmissionRequest,
         now: Instant,
     ) -> Result<SlotOutcome, AdmissionRefusal> {
-        let tenant = request.tenant.clone().unwrap_or_else(|| OPEN_TENANT.into());
-        let weight = self.weights_of.get(&tenant).copied().unwrap_or(1);
+        let customer = request.customer.clone().unwrap_or_else(|| OPEN_CUSTOMER.into());
+        let weight = self.weights_of.get(&customer).copied().unwrap_or(1);
         let Some(line) = self.services.get_mut(&request.service) else {
             return Err(AdmissionRefusal::NoTarget { retry_after: RETRY_AFTER });
         };
         let deadline = request.deadline.min(now + line.longest_wait);
         let class = request.priority as usize;
-        let ticket = QueueTicket { tenant, weight, class, deadline };
+        let ticket = QueueTicket { customer, weight, class, deadline };
         let (sender, receiver) = oneshot::channel();
         let waiter = SlotWaiter { request, ticket: ticket.clone(), arrived: now, sender };
         match line.queue.push(waiter, ticket, now) {
--- a/crates/buckthornturn/src/admission/loan_handler.rs
+++ b/crates/buckthornturn/src/admission/loan_handler.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coordination::customer_budget::TokenLoan;
 use coordination::ids::HostId;
 use coordination::lease_term::NEAR_TOKEN_TERM;
 use coordination::lease_term::TOKEN_TERM;
-use coordination::tenant_budget::TokenLoan;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 
@@ -40,12 +40,13 @@
     fn answer(&self, from: HostId, request: PeerRequest) -> Result<PeerReply, PeerError> {
         let now = clock();
         match request {
-            PeerRequest::BorrowTokens { tenant, micro_tokens, rate_ppm } => {
+            PeerRequest::BorrowTokens { customer, micro_tokens, rate_ppm } => {
                 let term = self.token_term(&from);
                 let mut core = self.shared.lock();
                 core.check_pause(now);
                 let asked = TokenLoan { micro_tokens, rate_ppm, term };
-                let lent = core.tenants.get_mut(&tenant).map(|account| account.lend(asked, now));
+                let lent =
+                    core.customers.get_mut(&customer).map(|account| account.lend(asked, now));
                 let loan = lent.unwrap_or_default();
                 Ok(PeerReply::TokensLent {
                     micro_tokens: loan.micro_tokens,
--- a/crates/buckthornturn/src/admission/local_gate.rs
+++ b/crates/buckthornturn/src/admission/local_gate.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::ids::CustomerId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
@@ -34,11 +34,11 @@
 
 #[derive(Default)]
 struct GateLedger {
-    buckets: IndexMap<TenantId, TenantBucket>,
+    buckets: IndexMap<CustomerId, CustomerBucket>,
     in_flight: IndexMap<TargetId, u32>,
 }
 
-struct TenantBucket {
+struct CustomerBucket {
     tokens: f64,
     filled_at: Instant,
 }
@@ -104,17 +104,18 @@
         request: &AdmissionRequest,
         ledger: &mut GateLedger,
     ) -> Result<(), AdmissionRefusal> {
-        let Some(tenant) = request.tenant.as_ref().and_then(|name| state.tenants.get(name)) else {
+        let Some(customer) = request.customer.as_ref().and_then(|name| state.customers.get(name))
+        else {
             return Ok(());
         };
         let now = Instant::now();
         let share = 1.0 / f64::from(self.hosts);
         let bucket = ledger
             .buckets
-            .entry(tenant.name.clone())
-            .or_insert(TenantBucket { tokens: tenant.burst * share, filled_at: now });
-        let gained = (now - bucket.filled_at).as_secs_f64() * tenant.rate_per_second * share;
-        bucket.tokens = (bucket.tokens + gained).min(tenant.burst * share);
+            .entry(customer.name.clone())
+            .or_insert(CustomerBucket { tokens: customer.burst * share, filled_at: now });
+        let gained = (now - bucket.filled_at).as_secs_f64() * customer.rate_per_second * share;
+        bucket.tokens = (bucket.tokens + gained).min(customer.burst * share);
         bucket.filled_at = now;
         if bucket.tokens < 1.0 {
             return Err(AdmissionRefusal::RateExceeded { retry_after: RETRY_AFTER });
--- a/crates/buckthornturn/src/admission/mod.rs
+++ b/crates/buckthornturn/src/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget_gate;
 mod budget_report;
+mod customer_account;
 mod domain_cut;
 mod floor_planner;
 mod floor_rules;
@@ -20,13 +21,12 @@
 mod slot_borrower;
 mod slot_guard;
 mod target_slots;
-mod tenant_account;
 mod token_round;
 
 pub use budget_gate::BudgetGate;
 pub use budget_report::BudgetReport;
+pub use budget_report::CustomerRow;
 pub use budget_report::TargetRow;
-pub use budget_report::TenantRow;
 pub use floor_planner::CheckPlan;
 pub use floor_planner::ConfirmPlan;
 pub use floor_planner::FloorPlanner;
--- a/crates/buckthornturn/src/admission/service_line.rs
+++ b/crates/buckthornturn/src/admission/service_line.rs
@@ -60,9 +60,9 @@
     }
 
     /// Sets the bounds of the profile in force.
-    pub(crate) fn set_bounds(&mut self, longest_wait: Duration, per_tenant: u32) {
+    pub(crate) fn set_bounds(&mut self, longest_wait: Duration, per_customer: u32) {
         self.longest_wait = longest_wait;
-        self.queue.set_bounds(queue_bounds(longest_wait, per_tenant));
+        self.queue.set_bounds(queue_bounds(longest_wait, per_customer));
     }
 
     /// Whether this host had requests of the service lately.
@@ -81,7 +81,7 @@
     }
 }
 
-fn queue_bounds(longest_wait: Duration, per_tenant: u32) -> QueueBounds {
-    let per_tenant = usize::try_from(per_tenant).unwrap_or(MAX_WAITING);
-    QueueBounds { per_tenant, total: MAX_WAITING, longest_wait }
+fn queue_bounds(longest_wait: Duration, per_customer: u32) -> QueueBounds {
+    let per_customer = usize::try_from(per_customer).unwrap_or(MAX_WAITING);
+    QueueBounds { per_customer, total: MAX_WAITING, longest_wait }
 }
--- a/crates/buckthornturn/src/admission/token_round.rs
+++ b/crates/buckthornturn/src/admission/token_round.rs
@@ -3,20 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coordination::customer_budget::TokenLoan;
 use coordination::floor_share::FloorKind;
 use coordination::floor_share::floor_holder;
 use coordination::ids::HostId;
 use coordination::lease_term::NEAR_TOKEN_TERM;
 use coordination::lease_term::TOKEN_TERM;
-use coordination::tenant_budget::TokenLoan;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use indexmap::IndexSet;
 use spdlog::debug;
 
+use crate::admission::customer_account::RoundEnd;
 use crate::admission::gate_shared::GateShared;
 use crate::admission::gate_shared::clock;
-use crate::admission::tenant_account::RoundEnd;
 use crate::interface::MemberHealth;
 use crate::interface::PeerReply;
 use crate::interface::PeerRequest;
@@ -25,7 +25,7 @@
 const FAR_WAIT: Duration = TOKEN_TERM;
 const MAX_HOLDERS: usize = 12;
 
-/// Holders of a tenant's floors that may lend.
+/// Holders of a customer's floors that may lend.
 struct TokenHolders {
     /// Those of the region, the nearest first.
     near: Vec<HostId>,
@@ -33,19 +33,19 @@
     far: Vec<HostId>,
 }
 
-/// Runs rounds of borrowing for a tenant until nobody waits, unless one runs already.
-pub(crate) async fn run_rounds(shared: Arc<GateShared>, tenant: Box<str>) {
+/// Runs rounds of borrowing for a customer until nobody waits, unless one runs already.
+pub(crate) async fn run_rounds(shared: Arc<GateShared>, customer: Box<str>) {
     loop {
         let started = {
             let mut core = shared.lock();
-            core.tenants.get_mut(&tenant).and_then(|account| account.start_round(clock()))
+            core.customers.get_mut(&customer).and_then(|account| account.start_round(clock()))
         };
         let Some(pause) = started else { return };
         tokio::time::sleep(pause).await;
-        run_round(&shared, &tenant).await;
+        run_round(&shared, &customer).await;
         let end = {
             let mut core = shared.lock();
-            core.tenants.get_mut(&tenant).map(|account| account.finish_round(clock()))
+            core.customers.get_mut(&customer).map(|account| account.finish_round(clock()))
         };
         match end {
             Some(RoundEnd::Again(pause)) => tokio::time::sleep(pause).await,
@@ -55,20 +55,20 @@
 }
 
 /// Asks the holders of the region one after the other, then the others, as many at once as tokens are missing.
-async fn run_round(shared: &GateShared, tenant: &str) {
-    let holders = find_holders(shared, tenant);
-    if let Some(account) = shared.lock().tenants.get_mut(tenant) {
+async fn run_round(shared: &GateShared, customer: &str) {
+    let holders = find_holders(shared, customer);
+    if let Some(account) = shared.lock().customers.get_mut(customer) {
         account.open_round();
     }
     for holder in holders.near {
-        if !step(shared, tenant, &[holder], NEAR_WAIT).await {
+        if !step(shared, customer, &[holder], NEAR_WAIT).await {
             return;
         }
     }
     let mut far = &*holders.far;
     while !far.is_empty() {
-        let (asked, rest) = far.split_at(waiting(shared, tenant).clamp(1, far.len()));
-        if !step(shared, tenant, asked, FAR_WAIT).await {
+        let (asked, rest) = far.split_at(waiting(shared, customer).clamp(1, far.len()));
+        if !step(shared, customer, asked, FAR_WAIT).await {
             return;
         }
         far = rest;
@@ -76,38 +76,38 @@
 }
 
 /// Asks some holders at once; returns whether anything was missing before.
-async fn step(shared: &GateShared, tenant: &str, peers: &[HostId], wait: Duration) -> bool {
+async fn step(shared: &GateShared, customer: &str, peers: &[HostId], wait: Duration) -> bool {
     let sent_at = clock();
     let asked = {
         let mut core = shared.lock();
-        core.tenants.get_mut(tenant).and_then(|account| account.step(peers.len(), sent_at))
+        core.customers.get_mut(customer).and_then(|account| account.step(peers.len(), sent_at))
     };
     let Some(asked) = asked else { return false };
     let mut calls: FuturesUnordered<_> =
-        peers.iter().map(|peer| borrow(shared, tenant, peer, asked, wait)).collect();
+        peers.iter().map(|peer| borrow(shared, customer, peer, asked, wait)).collect();
     let mut lent = 0u64;
     while let Some(loan) = calls.next().await {
         lent = lent.saturating_add(loan.micro_tokens);
-        if let Some(account) = shared.lock().tenants.get_mut(tenant) {
+        if let Some(account) = shared.lock().customers.get_mut(customer) {
             account.receive(loan, sent_at, clock());
         }
     }
     let took_us = clock().saturating_duration_since(sent_at).as_micros() as u64;
     debug!("tokens borrowed", kv: {
-        tenant:, holders = peers.len(), asked = asked.micro_tokens, lent, took_us
+        customer:, holders = peers.len(), asked = asked.micro_tokens, lent, took_us
     });
     true
 }
 
 async fn borrow(
     shared: &GateShared,
-    tenant: &str,
+    customer: &str,
     peer: &str,
     asked: TokenLoan,
     wait: Duration,
 ) -> TokenLoan {
     let request = PeerRequest::BorrowTokens {
-        tenant: tenant.into(),
+        customer: customer.into(),
         micro_tokens: asked.micro_tokens,
         rate_ppm: asked.rate_ppm,
     };
@@ -121,17 +121,17 @@
     }
 }
 
-fn waiting(shared: &GateShared, tenant: &str) -> usize {
-    shared.lock().tenants.get(tenant).map_or(0, |account| account.waiting())
+fn waiting(shared: &GateShared, customer: &str) -> usize {
+    shared.lock().customers.get(customer).map_or(0, |account| account.waiting())
 }
 
 /// Holders by the plans known here, without those that are not heard.
-fn find_holders(shared: &GateShared, tenant: &str) -> TokenHolders {
+fn find_holders(shared: &GateShared, customer: &str) -> TokenHolders {
     let members = shared.peers.members();
     let plans = shared.plans.load();
     let holders: IndexSet<&HostId> = plans
         .values()
-        .filter_map(|plan| floor_holder(plan, FloorKind::Tokens, tenant))
+        .filter_map(|plan| floor_holder(plan, FloorKind::Tokens, customer))
         .filter(|host| **host != shared.own.host)
         .collect();
     let mut found = TokenHolders { near: Vec::new(), far: Vec::new() };
--- a/crates/buckthornturn/src/callers/caller_permission.rs
+++ b/crates/buckthornturn/src/callers/caller_permission.rs
@@ -1,7 +1,7 @@
 //! Whether a request may be made under a configuration.
 
+use coordination::ids::CustomerId;
 use coordination::ids::KeyId;
-use coordination::ids::TenantId;
 use http::StatusCode;
 
 use crate::callers::Refusal;
@@ -18,8 +18,8 @@
     pub path: Box<str>,
     /// Key that it showed, if that was valid.
     pub key: Option<KeyId>,
-    /// Tenant of the key.
-    pub tenant: Option<TenantId>,
+    /// Customer of the key.
+    pub customer: Option<CustomerId>,
 }
 
 impl CallerPermission {
@@ -39,12 +39,12 @@
             return Ok((service, route));
         }
         let key = self.key.as_ref().and_then(|key| state.keys.get(key));
-        let tenant = match key {
-            Some(record) if !record.withdrawn => &record.tenant,
+        let customer = match key {
+            Some(record) if !record.withdrawn => &record.customer,
             _ if route.open => return Ok((service, route)),
             _ => return Err(Refusal::not_run(StatusCode::UNAUTHORIZED, "key")),
         };
-        let spec = state.tenants.get(tenant);
+        let spec = state.customers.get(customer);
         match route.open || spec.is_some_and(|spec| spec.services.contains(&service.name)) {
             true => Ok((service, route)),
             false => Err(Refusal::not_run(StatusCode::FORBIDDEN, "not-allowed")),
--- a/crates/buckthornturn/src/callers/caller_service.rs
+++ b/crates/buckthornturn/src/callers/caller_service.rs
@@ -207,14 +207,14 @@
             return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-configuration")
                 .retry_after(NO_CONFIGURATION_PAUSE));
         }
-        let KeyCheck::Valid { tenant, .. } = KeyCheck::of(request.headers(), &state) else {
+        let KeyCheck::Valid { customer, .. } = KeyCheck::of(request.headers(), &state) else {
             return Err(Refusal::not_run(StatusCode::UNAUTHORIZED, "key"));
         };
-        let spec = state.tenants.get(&tenant);
+        let spec = state.customers.get(&customer);
         if !spec.is_some_and(|spec| spec.services.iter().any(|name| &**name == service)) {
             return Err(Refusal::not_run(StatusCode::FORBIDDEN, "not-allowed"));
         }
-        let (ticket, life) = self.desk.issue(&tenant, service);
+        let (ticket, life) = self.desk.issue(&customer, service);
         let body = json!({ "ticket": ticket, "expires_in_seconds": life.as_secs() });
         Ok(json_response(body.to_string().into()))
     }
@@ -270,9 +270,9 @@
         job: ForwardJob,
         ticket: &str,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let tenant = job.plan.tenant().cloned().unwrap_or_default();
+        let customer = job.plan.customer().cloned().unwrap_or_default();
         let deadline = job.plan.deadline();
-        match self.desk.present(ticket, &tenant, &job.plan.service, deadline).await? {
+        match self.desk.present(ticket, &customer, &job.plan.service, deadline).await? {
             TicketUse::Known(outcome) => known_reply(&outcome),
             TicketUse::Elsewhere(claims) => self.pass_on(job, &claims).await,
             TicketUse::Run(hold) => {
--- a/crates/buckthornturn/src/callers/claim_ledger.rs
+++ b/crates/buckthornturn/src/callers/claim_ledger.rs
@@ -75,11 +75,11 @@
     /// Fails if it is not certain that the claim is held; the request has not run.
     pub async fn claim(
         &self,
-        tenant: &str,
+        customer: &str,
         service: &str,
         idempotency_key: &str,
     ) -> Result<ClaimEnd, Refusal> {
-        let key = format!("{CLAIM_PREFIX}{tenant}/{service}/{}", key_hash(idempotency_key));
+        let key = format!("{CLAIM_PREFIX}{customer}/{service}/{}", key_hash(idempotency_key));
         let record = ClaimRecord {
             host: self.host.clone(),
             nonce: format!("{:032x}", rand::random::<u128>()).into(),
--- a/crates/buckthornturn/src/callers/key_check.rs
+++ b/crates/buckthornturn/src/callers/key_check.rs
@@ -1,6 +1,6 @@
 //! Checks callers' keys against the hashes in force.
 
-use coordination::ids::TenantId;
+use coordination::ids::CustomerId;
 use http::HeaderMap;
 use http::header;
 use sha2::Digest;
@@ -19,12 +19,12 @@
     Missing,
     /// The key is unknown, malformed or withdrawn.
     Invalid,
-    /// The key acts for a tenant.
+    /// The key acts for a customer.
     Valid {
         /// Identifier of the key.
         key: Box<str>,
-        /// Tenant.
-        tenant: TenantId,
+        /// Customer.
+        customer: CustomerId,
     },
 }
 
@@ -56,7 +56,7 @@
             Some(record) if !record.withdrawn => {
                 let hash = key_hash(key);
                 match bool::from(hash.as_bytes().ct_eq(record.sha256.as_bytes())) {
-                    true => Self::Valid { key: id.into(), tenant: record.tenant.clone() },
+                    true => Self::Valid { key: id.into(), customer: record.customer.clone() },
                     false => Self::Invalid,
                 }
             }
--- a/crates/buckthornturn/src/callers/once_runner.rs
+++ b/crates/buckthornturn/src/callers/once_runner.rs
@@ -162,8 +162,8 @@
             Self::Ticket(hold) => return Ok(OnceHold::Ticket(hold)),
             Self::Claim { ledger, idempotency_key } => (ledger, idempotency_key),
         };
-        let tenant = job.plan.tenant().map_or("", |tenant| &**tenant);
-        match ledger.claim(tenant, &job.plan.service, &idempotency_key).await {
+        let customer = job.plan.customer().map_or("", |customer| &**customer);
+        match ledger.claim(customer, &job.plan.service, &idempotency_key).await {
             Ok(ClaimEnd::Run(hold)) => Ok(OnceHold::Claim(hold)),
             Ok(ClaimEnd::Taken(outcome)) => Err(known_reply(&outcome)),
             Err(refusal) => Err(Err(refusal)),
--- a/crates/buckthornturn/src/callers/outcome_desk.rs
+++ b/crates/buckthornturn/src/callers/outcome_desk.rs
@@ -33,8 +33,8 @@
 use crate::settings::CallerBounds;
 
 const FULL_PAUSE: Duration = Duration::from_secs(5);
-/// A tenant may fill one part in this many of the table.
-const TENANT_PARTS: usize = 4;
+/// A customer may fill one part in this many of the table.
+const CUSTOMER_PARTS: usize = 4;
 
 /// Tickets of this process and the outcomes of requests that used them.
 pub struct OutcomeDesk {
@@ -67,16 +67,16 @@
         let issuer = TicketIssuer::new(host, incarnation, life, Instant::now(), &mut rand::rng());
         let table = OutcomeTable::new(OutcomeBounds {
             max_entries: bounds.max_outcomes,
-            max_entries_per_tenant: (bounds.max_outcomes / TENANT_PARTS).max(1),
+            max_entries_per_customer: (bounds.max_outcomes / CUSTOMER_PARTS).max(1),
             max_bytes: bounds.max_outcome_bytes,
         });
         Arc::new(Self { issuer, table: Mutex::new(table), changed: Notify::new() })
     }
 
     /// Issues a ticket. Returns it with its life.
-    pub fn issue(&self, tenant: &str, service: &str) -> (Box<str>, Duration) {
+    pub fn issue(&self, customer: &str, service: &str) -> (Box<str>, Duration) {
         let now = Instant::now();
-        let ticket = self.issuer.issue(tenant.into(), service.into(), now, &mut rand::rng());
+        let ticket = self.issuer.issue(customer.into(), service.into(), now, &mut rand::rng());
         (ticket, self.issuer.life())
     }
 
@@ -88,12 +88,12 @@
     pub async fn present(
         self: &Arc<Self>,
         ticket: &str,
-        tenant: &str,
+        customer: &str,
         service: &str,
         deadline: Instant,
     ) -> Result<TicketUse, Refusal> {
         let claims = TicketClaims::read(ticket).map_err(ticket_refusal)?;
-        let is_foreign = &*claims.tenant != tenant || &*claims.service != service;
+        let is_foreign = &*claims.customer != customer || &*claims.service != service;
         if is_foreign {
             return Err(ticket_refusal(TicketError::Foreign));
         }
@@ -105,7 +105,7 @@
         }
         let now = Instant::now();
         let expires =
-            now + self.issuer.prove(ticket, tenant, service, now).map_err(ticket_refusal)?;
+            now + self.issuer.prove(ticket, customer, service, now).map_err(ticket_refusal)?;
         loop {
             let changed = self.changed.notified();
             let mut changed = std::pin::pin!(changed);
@@ -114,7 +114,7 @@
             if now >= expires {
                 return Err(ticket_refusal(TicketError::Expired));
             }
-            let begin = self.lock().begin(ticket, tenant, expires, now);
+            let begin = self.lock().begin(ticket, customer, expires, now);
             match begin {
                 OutcomeBegin::First => return Ok(TicketUse::Run(self.hold(ticket))),
                 OutcomeBegin::Known(outcome) => return Ok(TicketUse::Known(outcome)),
@@ -154,7 +154,7 @@
             let outcome = serde_json::from_slice::<StoredOutcome>(&entry.encoded)
                 .map_or(KnownOutcome::Unknown, KnownOutcome::from);
             let expires = now + entry.expires_in.min(MAX_ADOPTED_LIFE);
-            table.adopt(&entry.ticket, &claims.tenant, expires, outcome, now);
+            table.adopt(&entry.ticket, &claims.customer, expires, outcome, now);
         }
     }
 
--- a/crates/buckthornturn/src/callers/request_dispatcher.rs
+++ b/crates/buckthornturn/src/callers/request_dispatcher.rs
@@ -160,7 +160,7 @@
     }
 
     async fn attempt(&self, job: &DispatchJob, stage: RequestStage<Admitted>) -> AttemptEnd {
-        let key = PoolKey { address: stage.address(), tenant: job.plan.tenant().cloned() };
+        let key = PoolKey { address: stage.address(), customer: job.plan.customer().cloned() };
         let idle = match job.plan.route.repeatable {
             true => self.pool.take(&key),
             false => None,
--- a/crates/buckthornturn/src/callers/request_plan.rs
+++ b/crates/buckthornturn/src/callers/request_plan.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::ids::CustomerId;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -34,7 +34,7 @@
 /// Header with the rest of the deadline, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 
-const TENANT_HEADER: &str = "buckthornturn-tenant";
+const CUSTOMER_HEADER: &str = "buckthornturn-customer";
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
 /// What is known of a request before any of it is passed on.
@@ -75,11 +75,11 @@
         let host = named_host(request).ok_or_else(|| bad_request("bad-host"))?;
         let path = canonical_path(request.uri()).ok_or_else(|| bad_request("bad-path"))?;
         let check = KeyCheck::of(request.headers(), state);
-        let (key, tenant) = match &check {
-            KeyCheck::Valid { key, tenant } => (Some(key.clone()), Some(tenant.clone())),
+        let (key, customer) = match &check {
+            KeyCheck::Valid { key, customer } => (Some(key.clone()), Some(customer.clone())),
             _ => (None, None),
         };
-        let permission = CallerPermission { host, path, key, tenant };
+        let permission = CallerPermission { host, path, key, customer };
         let (service, route) = permission.resolve(state)?;
         if check == KeyCheck::Invalid && !route.open {
             return Err(Refusal::not_run(StatusCode::UNAUTHORIZED, "key"));
@@ -101,9 +101,9 @@
         })
     }
 
-    /// Tenant that the request runs for.
-    pub fn tenant(&self) -> Option<&TenantId> {
-        self.permission.tenant.as_ref()
+    /// Customer that the request runs for.
+    pub fn customer(&self) -> Option<&CustomerId> {
+        self.permission.customer.as_ref()
     }
 
     /// Time by which the first byte of the answer must be there.
@@ -115,7 +115,7 @@
     pub fn admission(&self, attempt: u32, excluded: &[TargetId]) -> AdmissionRequest {
         AdmissionRequest {
             request_id: self.request_id.clone(),
-            tenant: self.permission.tenant.clone(),
+            customer: self.permission.customer.clone(),
             service: self.service.clone(),
             route: self.route.name.clone(),
             priority: self.route.priority,
@@ -174,8 +174,8 @@
             |text: &str| HeaderValue::from_str(text).map_err(|_| bad_request("bad-request"));
         parts.headers.insert(header::HOST, header_value(&self.permission.host)?);
         parts.headers.insert(REQUEST_ID_HEADER, header_value(&self.request_id)?);
-        if let Some(tenant) = self.tenant() {
-            parts.headers.insert(TENANT_HEADER, header_value(tenant)?);
+        if let Some(customer) = self.customer() {
+            parts.headers.insert(CUSTOMER_HEADER, header_value(customer)?);
         }
         Ok(parts)
     }
--- a/crates/buckthornturn/src/callers/target_pool.rs
+++ b/crates/buckthornturn/src/callers/target_pool.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use coordination::ids::TenantId;
+use coordination::ids::CustomerId;
 use indexmap::IndexMap;
 use spdlog::warn;
 
@@ -17,7 +17,7 @@
 use crate::callers::TargetConnection;
 use crate::interface::StreamDialer;
 
-/// Most idle connections to one target for one tenant.
+/// Most idle connections to one target for one customer.
 const MAX_IDLE: usize = 256;
 /// Time for which a connection must have been silent after an answer before it is used again.
 const QUARANTINE: Duration = Duration::from_millis(10);
@@ -27,13 +27,13 @@
 const DISTRUST: Duration = Duration::from_secs(60);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Who shares idle connections: a stray answer of a target can never reach another tenant.
+/// Who shares idle connections: a stray answer of a target can never reach another customer.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct PoolKey {
     /// Address of the target.
     pub address: SocketAddr,
-    /// Tenant whose requests it carried.
-    pub tenant: Option<TenantId>,
+    /// Customer whose requests it carried.
+    pub customer: Option<CustomerId>,
 }
 
 /// Idle connections to targets, reused only in a known clean state.
--- a/crates/buckthornturn/src/configuration/config_object.rs
+++ b/crates/buckthornturn/src/configuration/config_object.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration::AssignmentSpec;
 use crate::configuration::BlockSpec;
+use crate::configuration::CustomerSpec;
 use crate::configuration::DomainSpec;
 use crate::configuration::DrainOrder;
 use crate::configuration::GroupSpec;
@@ -13,7 +14,6 @@
 use crate::configuration::ProfileSpec;
 use crate::configuration::ServiceSpec;
 use crate::configuration::TargetSpec;
-use crate::configuration::TenantSpec;
 
 /// One configuration object, tagged by `kind`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -29,8 +29,8 @@
     Profile(ProfileSpec),
     /// An assignment of a profile to a service.
     Assignment(AssignmentSpec),
-    /// A tenant.
-    Tenant(TenantSpec),
+    /// A customer.
+    Customer(CustomerSpec),
     /// A link between regions.
     Link(LinkSpec),
     /// A steering group.
@@ -52,7 +52,7 @@
             Self::Target(_) => "target",
             Self::Profile(_) => "profile",
             Self::Assignment(_) => "assignment",
-            Self::Tenant(_) => "tenant",
+            Self::Customer(_) => "customer",
             Self::Link(_) => "link",
             Self::Group(_) => "group",
             Self::Block(_) => "block",
@@ -69,7 +69,7 @@
             Self::Target(spec) => spec.name.clone(),
             Self::Profile(spec) => spec.name.clone(),
             Self::Assignment(spec) => spec.name.clone(),
-            Self::Tenant(spec) => spec.name.clone(),
+            Self::Customer(spec) => spec.name.clone(),
             Self::Link(spec) => spec.name.clone(),
             Self::Group(spec) => spec.name.clone(),
             Self::Block(spec) => spec.name.clone(),
--- a/crates/buckthornturn/src/configuration/config_rules.rs
+++ b/crates/buckthornturn/src/configuration/config_rules.rs
@@ -23,7 +23,7 @@
         rules.check_targets();
         rules.check_profiles();
         rules.check_assignments();
-        rules.check_tenants();
+        rules.check_customers();
         rules.check_links();
         rules.check_groups();
         rules.check_drains();
@@ -166,22 +166,22 @@
         }
     }
 
-    fn check_tenants(&mut self) {
-        for tenant in self.state.tenants.values() {
-            for (index, service) in tenant.services.iter().enumerate() {
+    fn check_customers(&mut self) {
+        for customer in self.state.customers.values() {
+            for (index, service) in customer.services.iter().enumerate() {
                 if !self.state.services.contains_key(service) {
                     let reason = format!("there is no service `{service}`");
                     let field = format!("services[{index}]");
-                    self.report("tenant", &tenant.name, &field, reason);
+                    self.report("customer", &customer.name, &field, reason);
                 }
             }
-            if tenant.burst.is_nan() || tenant.burst < 1.0 {
-                let reason = format!("a burst of {} lets no request through", tenant.burst);
-                self.report("tenant", &tenant.name, "burst", reason);
+            if customer.burst.is_nan() || customer.burst < 1.0 {
+                let reason = format!("a burst of {} lets no request through", customer.burst);
+                self.report("customer", &customer.name, "burst", reason);
             }
-            if tenant.rate_per_second.is_nan() || tenant.rate_per_second <= 0.0 {
-                let reason = format!("{} is not above 0", tenant.rate_per_second);
-                self.report("tenant", &tenant.name, "rate_per_second", reason);
+            if customer.rate_per_second.is_nan() || customer.rate_per_second <= 0.0 {
+                let reason = format!("{} is not above 0", customer.rate_per_second);
+                self.report("customer", &customer.name, "rate_per_second", reason);
             }
         }
     }
@@ -233,9 +233,10 @@
 
     fn check_keys(&mut self) {
         for key in self.state.keys.values().filter(|key| !key.withdrawn) {
-            if !self.state.tenants.contains_key(&key.tenant) {
-                let reason = format!("there is no tenant `{}`; withdraw the key first", key.tenant);
-                self.report("key", &key.id, "tenant", reason);
+            if !self.state.customers.contains_key(&key.customer) {
+                let reason =
+                    format!("there is no customer `{}`; withdraw the key first", key.customer);
+                self.report("key", &key.id, "customer", reason);
             }
         }
     }
--- a/crates/buckthornturn/src/configuration/configuration_state.rs
+++ b/crates/buckthornturn/src/configuration/configuration_state.rs
@@ -4,12 +4,12 @@
 
 use coordination::blocks::BlockTable;
 use coordination::blocks::ClientBlock;
+use coordination::ids::CustomerId;
 use coordination::ids::KeyId;
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +17,7 @@
 use crate::configuration::AssignmentSpec;
 use crate::configuration::BlockSpec;
 use crate::configuration::ConfigObject;
+use crate::configuration::CustomerSpec;
 use crate::configuration::DomainSpec;
 use crate::configuration::DrainOrder;
 use crate::configuration::DrainScope;
@@ -27,7 +28,6 @@
 use crate::configuration::RouteSpec;
 use crate::configuration::ServiceSpec;
 use crate::configuration::TargetSpec;
-use crate::configuration::TenantSpec;
 
 /// Everything in force at one revision. Revision 0 is empty and serves nothing.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -44,8 +44,8 @@
     pub profiles: IndexMap<Box<str>, ProfileSpec>,
     /// Assignments by name.
     pub assignments: IndexMap<Box<str>, AssignmentSpec>,
-    /// Tenants by name.
-    pub tenants: IndexMap<TenantId, TenantSpec>,
+    /// Customers by name.
+    pub customers: IndexMap<CustomerId, CustomerSpec>,
     /// Links by name.
     pub links: IndexMap<Box<str>, LinkSpec>,
     /// Steering groups by name.
@@ -70,7 +70,7 @@
             ConfigObject::Target(spec) => drop(self.targets.insert(name, spec)),
             ConfigObject::Profile(spec) => drop(self.profiles.insert(name, spec)),
             ConfigObject::Assignment(spec) => drop(self.assignments.insert(name, spec)),
-            ConfigObject::Tenant(spec) => drop(self.tenants.insert(name, spec)),
+            ConfigObject::Customer(spec) => drop(self.customers.insert(name, spec)),
             ConfigObject::Link(spec) => drop(self.links.insert(name, spec)),
             ConfigObject::Group(spec) => drop(self.groups.insert(name, spec)),
             ConfigObject::Block(spec) => self.put_block(&spec.name, &spec.group),
@@ -87,7 +87,7 @@
             "target" => self.targets.shift_remove(name).is_some(),
             "profile" => self.profiles.shift_remove(name).is_some(),
             "assignment" => self.assignments.shift_remove(name).is_some(),
-            "tenant" => self.tenants.shift_remove(name).is_some(),
+            "customer" => self.customers.shift_remove(name).is_some(),
             "link" => self.links.shift_remove(name).is_some(),
             "group" => self.groups.shift_remove(name).is_some(),
             "block" => name.parse().is_ok_and(|block| self.blocks.remove(block)),
@@ -124,7 +124,7 @@
             "target" => self.targets.get(name).cloned().map(ConfigObject::Target),
             "profile" => self.profiles.get(name).cloned().map(ConfigObject::Profile),
             "assignment" => self.assignments.get(name).cloned().map(ConfigObject::Assignment),
-            "tenant" => self.tenants.get(name).cloned().map(ConfigObject::Tenant),
+            "customer" => self.customers.get(name).cloned().map(ConfigObject::Customer),
             "link" => self.links.get(name).cloned().map(ConfigObject::Link),
             "group" => self.groups.get(name).cloned().map(ConfigObject::Group),
             "block" => self.block(name).map(ConfigObject::Block),
--- a/crates/buckthornturn/src/configuration/key_record.rs
+++ b/crates/buckthornturn/src/configuration/key_record.rs
@@ -1,7 +1,7 @@
 //! Key record.
 
+use coordination::ids::CustomerId;
 use coordination::ids::KeyId;
-use coordination::ids::TenantId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -11,8 +11,8 @@
 pub struct KeyRecord {
     /// Public identifier of the key.
     pub id: KeyId,
-    /// Tenant the key acts for.
-    pub tenant: TenantId,
+    /// Customer the key acts for.
+    pub customer: CustomerId,
     /// SHA-256 of the whole key text, in lower-case hex.
     pub sha256: Box<str>,
     /// Whether the key has been withdrawn. A withdrawn record is kept, so that it cannot come back.
--- a/crates/buckthornturn/src/configuration/profile_spec.rs
+++ b/crates/buckthornturn/src/configuration/profile_spec.rs
@@ -61,13 +61,13 @@
 pub struct QueuePolicy {
     /// Longest wait for a slot, in milliseconds.
     pub max_wait_ms: u64,
-    /// Most requests that wait for one tenant.
-    pub max_waiting_per_tenant: u32,
+    /// Most requests that wait for one customer.
+    pub max_waiting_per_customer: u32,
 }
 
 impl Default for QueuePolicy {
     fn default() -> Self {
-        Self { max_wait_ms: 2_000, max_waiting_per_tenant: 64 }
+        Self { max_wait_ms: 2_000, max_waiting_per_customer: 64 }
     }
 }
 
@@ -109,7 +109,7 @@
     /// Drains by date.
     #[serde(default)]
     pub schedule: Vec<ScheduledDrain>,
-    /// Body bytes that count as one request against a tenant's rate; 0 counts each request as one.
+    /// Body bytes that count as one request against a customer's rate; 0 counts each request as one.
     #[serde(default)]
     pub bytes_per_token: u64,
 }
--- a/crates/buckthornturn/src/document/object_rules.rs
+++ b/crates/buckthornturn/src/document/object_rules.rs
@@ -13,7 +13,7 @@
 
 /// Kinds that a file may hold, in the order in which messages name them.
 pub(crate) const FILE_KINDS: [&str; 9] =
-    ["domain", "service", "target", "profile", "assignment", "tenant", "link", "group", "block"];
+    ["domain", "service", "target", "profile", "assignment", "customer", "link", "group", "block"];
 
 /// Rules for the fields of a kind, `kind` itself included.
 pub(crate) fn rules_of(kind: &str) -> Option<&'static [FieldRule]> {
@@ -23,7 +23,7 @@
         "target" => Some(TARGET),
         "profile" => Some(PROFILE),
         "assignment" => Some(ASSIGNMENT),
-        "tenant" => Some(TENANT),
+        "customer" => Some(CUSTOMER),
         "link" => Some(LINK),
         "group" => Some(GROUP),
         "block" => Some(BLOCK),
@@ -82,7 +82,7 @@
 
 const QUEUE: &[FieldRule] = &[
     optional("max_wait_ms", FieldKind::Whole(0, MAX_MILLISECONDS)),
-    optional("max_waiting_per_tenant", FieldKind::Whole(0, 1_000_000)),
+    optional("max_waiting_per_customer", FieldKind::Whole(0, 1_000_000)),
 ];
 
 const STALE_KEYS: &[FieldRule] = &[
@@ -101,7 +101,7 @@
 const ASSIGNMENT: &[FieldRule] =
     &[KIND, NAME, required("service", FieldKind::Name), required("profile", FieldKind::Name)];
 
-const TENANT: &[FieldRule] = &[
+const CUSTOMER: &[FieldRule] = &[
     KIND,
     NAME,
     required("rate_per_second", FieldKind::Number(0.0, MAX_RATE_PER_SECOND)),
--- a/crates/buckthornturn/src/document/tests.rs
+++ b/crates/buckthornturn/src/document/tests.rs
@@ -13,7 +13,7 @@
      "address": "127.0.0.1:9000", "slots": 4},
     {"kind": "profile", "name": "p"},
     {"kind": "assignment", "name": "s", "service": "s", "profile": "p"},
-    {"kind": "tenant", "name": "x", "rate_per_second": 10, "burst": 5, "services": ["s"]},
+    {"kind": "customer", "name": "x", "rate_per_second": 10, "burst": 5, "services": ["s"]},
   ]
 }"#;
 
@@ -60,7 +60,7 @@
     whole_file: "A comment" => "Another", [];
     syntax: "\"objects\": [" => "\"objects\" [", ["3:13: not JSON: Expected colon after the string or word in object property"];
     unknown_kind: "\"kind\": \"domain\"" => "\"kind\": \"cell\"",
-        ["4:14: objects[0].kind: expected one of domain, service, target, profile, assignment, tenant, link, group, block"];
+        ["4:14: objects[0].kind: expected one of domain, service, target, profile, assignment, customer, link, group, block"];
     unknown_field: "\"slots\": 4" => "\"slots\": 4, \"slot\": 5",
         ["8:47: objects[2].slot: unknown field; known are kind, name, service, failure_domain, address, slots, health_path, warm_up_seconds"];
     missing_field: ", \"region\": \"north\"" => "", ["4:5: objects[0].region: this field is missing"];
@@ -84,7 +84,7 @@
     missing_group: "{\"kind\": \"profile\", \"name\": \"p\"}" => "{\"kind\": \"profile\", \"name\": \"p\"}, {\"kind\": \"block\", \"name\": \"10.0.0.0/8\", \"group\": \"g\"}",
         ["9:88: objects[4].group: there is no group `g`"];
     drain_is_not_for_files: "\"kind\": \"domain\"" => "\"kind\": \"drain\"",
-        ["4:14: objects[0].kind: expected one of domain, service, target, profile, assignment, tenant, link, group, block"];
+        ["4:14: objects[0].kind: expected one of domain, service, target, profile, assignment, customer, link, group, block"];
 }
 
 problem_cases! { settings_problems, SETTINGS;
--- a/crates/buckthornturn/src/interface/admission_gate.rs
+++ b/crates/buckthornturn/src/interface/admission_gate.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::ids::CustomerId;
 use coordination::ids::DomainId;
 use coordination::ids::RegionId;
 use coordination::ids::RouteId;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use futures::future::BoxFuture;
 
 use crate::configuration::PriorityClass;
@@ -19,8 +19,8 @@
 pub struct AdmissionRequest {
     /// Identifier for the log.
     pub request_id: Box<str>,
-    /// Tenant; `None` on a route open to all without a key.
-    pub tenant: Option<TenantId>,
+    /// Customer; `None` on a route open to all without a key.
+    pub customer: Option<CustomerId>,
     /// Service.
     pub service: ServiceId,
     /// Route.
@@ -35,7 +35,7 @@
     pub body_bytes: Option<u64>,
     /// Targets that it was tried on already.
     pub excluded: Vec<TargetId>,
-    /// 0 at first, then the number of the retry. A retry pays from the retry budget, not from the tenant's rate.
+    /// 0 at first, then the number of the retry. A retry pays from the retry budget, not from the customer's rate.
     pub attempt: u32,
 }
 
@@ -87,7 +87,7 @@
 /// Why a request was not admitted. No byte of it has reached a target.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AdmissionRefusal {
-    /// The tenant is over its rate.
+    /// The customer is over its rate.
     RateExceeded {
         /// When a token will be there.
         retry_after: Duration,
@@ -97,7 +97,7 @@
         /// When a slot is likely.
         retry_after: Duration,
     },
-    /// The tenant's queue is full.
+    /// The customer's queue is full.
     QueueFull {
         /// When room is likely.
         retry_after: Duration,
--- a/crates/buckthornturn/src/interface/peer_message.rs
+++ b/crates/buckthornturn/src/interface/peer_message.rs
@@ -6,11 +6,11 @@
 use coordination::floor_plan::FloorPlan;
 use coordination::heartbeat::HeardHeartbeat;
 use coordination::heartbeat::Heartbeat;
+use coordination::ids::CustomerId;
 use coordination::ids::DomainId;
 use coordination::ids::Epoch;
 use coordination::ids::Revision;
 use coordination::ids::TargetId;
-use coordination::ids::TenantId;
 use coordination::listed_host::ListedHost;
 
 /// One entry of the configuration log as it travels.
@@ -86,13 +86,13 @@
         /// Rows.
         rows: Vec<ListedHost>,
     },
-    /// Asks for tokens of a tenant, taken out of the callee's own part.
+    /// Asks for tokens of a customer, taken out of the callee's own part.
     BorrowTokens {
-        /// Tenant.
-        tenant: TenantId,
+        /// Customer.
+        customer: CustomerId,
         /// Wanted now, in millionths of a token.
         micro_tokens: u64,
-        /// Part of the tenant's whole rate wanted for a term, in parts per million; 0 for none.
+        /// Part of the customer's whole rate wanted for a term, in parts per million; 0 for none.
         rate_ppm: u32,
     },
     /// Asks the owner for slots.
@@ -151,7 +151,7 @@
     TokensLent {
         /// Amount; at most what was asked for.
         micro_tokens: u64,
-        /// Part of the tenant's whole rate that the callee does without for the term, in parts per million.
+        /// Part of the customer's whole rate that the callee does without for the term, in parts per million.
         rate_ppm: u32,
         /// Term of the rate, from the moment that the request was sent, by the borrower's monotonic clock.
         term: Duration,
--- a/crates/buckthornturn/src/mesh/decode_message.rs
+++ b/crates/buckthornturn/src/mesh/decode_message.rs
@@ -45,7 +45,7 @@
             PeerRequest::PushHosts { rows: decode_part::listed_hosts(rows?)? }
         }
         Which::BorrowTokens(group) => PeerRequest::BorrowTokens {
-            tenant: decode_part::text(group.get_tenant())?,
+            customer: decode_part::text(group.get_customer())?,
             micro_tokens: group.get_micro_tokens(),
             rate_ppm: group.get_rate_ppm(),
         },
--- a/crates/buckthornturn/src/mesh/encode_message.rs
+++ b/crates/buckthornturn/src/mesh/encode_message.rs
@@ -37,9 +37,9 @@
         PeerRequest::PushHosts { rows } => {
             encode_part::listed_hosts(builder.init_push_hosts(rows.len() as u32), rows);
         }
-        PeerRequest::BorrowTokens { tenant, micro_tokens, rate_ppm } => {
+        PeerRequest::BorrowTokens { customer, micro_tokens, rate_ppm } => {
             let mut group = builder.init_borrow_tokens();
-            group.set_tenant(&**tenant);
+            group.set_customer(&**customer);
             group.set_micro_tokens(*micro_tokens);
             group.set_rate_ppm(*rate_ppm);
         }
--- a/crates/buckthornturn/src/mesh/mesh_capnp.rs
+++ b/crates/buckthornturn/src/mesh/mesh_capnp.rs
@@ -5586,14 +5586,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_customer(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_tenant(&self) -> bool {
+            pub fn has_customer(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
@@ -5688,14 +5688,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_customer(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_tenant(
+            pub fn set_customer(
                 &mut self,
                 value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
             ) {
@@ -5707,11 +5707,11 @@
                 .unwrap()
             }
             #[inline]
-            pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
+            pub fn init_customer(self, size: u32) -> ::capnp::text::Builder<'a> {
                 self.builder.get_pointer_field(1).init_text(size)
             }
             #[inline]
-            pub fn has_tenant(&self) -> bool {
+            pub fn has_customer(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
--- a/crates/buckthornturn/src/mesh/tests.rs
+++ b/crates/buckthornturn/src/mesh/tests.rs
@@ -156,7 +156,7 @@
         }],
     },
     request_borrow_tokens: PeerRequest::BorrowTokens {
-        tenant: "tenant-1".into(), micro_tokens: 6, rate_ppm: 7,
+        customer: "customer-1".into(), micro_tokens: 6, rate_ppm: 7,
     },
     request_lease_slots: PeerRequest::LeaseSlots { sequence: 8, wanted: slots() },
     request_return_slots: PeerRequest::ReturnSlots { returned: slots() },
--- a/crates/buckthornturn/src/operators/operator_service.rs
+++ b/crates/buckthornturn/src/operators/operator_service.rs
@@ -192,14 +192,15 @@
 
     async fn grant(&self, request: Request<Incoming>) -> ServiceResult {
         let body: Value = read_json(request).await?;
-        let tenant: Box<str> = body["tenant"].as_str().unwrap_or_default().into();
-        if !self.cell.load().tenants.contains_key(&tenant) {
-            let reason = format!("there is no tenant `{tenant}`");
+        let customer: Box<str> = body["customer"].as_str().unwrap_or_default().into();
+        if !self.cell.load().customers.contains_key(&customer) {
+            let reason = format!("there is no customer `{customer}`");
             return Err(ServiceFailure::new(StatusCode::NOT_FOUND, reason));
         }
         let id: Box<str> = format!("{:016x}", rand::random::<u64>()).into();
         let key = format!("bt_{id}_{:032x}", rand::random::<u128>());
-        let record = KeyRecord { id: id.clone(), tenant, sha256: key_hash(&key), withdrawn: false };
+        let record =
+            KeyRecord { id: id.clone(), customer, sha256: key_hash(&key), withdrawn: false };
         let change = ConfigChange::Put { object: ConfigObject::Key(record) };
         let (status, receipt) = self.append(vec![change], None).await?;
         Ok((status, json!({ "id": id, "key": key, "revision": receipt["revision"] })))
--- a/crates/buckthornturn/src/settings/caller_bounds.rs
+++ b/crates/buckthornturn/src/settings/caller_bounds.rs
@@ -28,7 +28,7 @@
     pub max_forwards: usize,
     /// Life of a ticket, in seconds.
     pub ticket_life_seconds: u64,
-    /// Most tickets whose outcome is remembered; a quarter of it for one tenant.
+    /// Most tickets whose outcome is remembered; a quarter of it for one customer.
     pub max_outcomes: usize,
     /// Most bytes of answers remembered to be replayed.
     pub max_outcome_bytes: usize,
--- a/crates/buckthornturn/src/subcommand/command_help.rs
+++ b/crates/buckthornturn/src/subcommand/command_help.rs
@@ -12,7 +12,7 @@
   buckthornturn status --host ADDR
   buckthornturn drain (target|domain|region) NAME [--by TIME] --host ADDR
   buckthornturn undrain (target|domain|region) NAME --host ADDR
-  buckthornturn key grant TENANT --host ADDR
+  buckthornturn key grant CUSTOMER --host ADDR
   buckthornturn key withdraw KEY-ID --host ADDR
   buckthornturn log-level LEVEL --host ADDR
   buckthornturn --version
@@ -73,7 +73,7 @@
 Usage:
   buckthornturn get [KIND [NAME]] --host ADDR [--ca FILE] [--json]
 
-KIND is one of domain, service, target, profile, assignment, tenant, link, group, block, drain, key.
+KIND is one of domain, service, target, profile, assignment, customer, link, group, block, drain, key.
 ";
 
 const STATUS: &str = "\
@@ -100,10 +100,10 @@
 ";
 
 const KEY: &str = "\
-Grants a key to a tenant, or withdraws one. A granted key is printed once and cannot be shown again.
+Grants a key to a customer, or withdraws one. A granted key is printed once and cannot be shown again.
 
 Usage:
-  buckthornturn key grant TENANT --host ADDR [--ca FILE] [--json]
+  buckthornturn key grant CUSTOMER --host ADDR [--ca FILE] [--json]
   buckthornturn key withdraw KEY-ID --host ADDR [--ca FILE] [--json]
 ";
 
--- a/crates/buckthornturn/src/subcommand/get_command.rs
+++ b/crates/buckthornturn/src/subcommand/get_command.rs
@@ -17,7 +17,7 @@
     ("target", "targets"),
     ("profile", "profiles"),
     ("assignment", "assignments"),
-    ("tenant", "tenants"),
+    ("customer", "customers"),
     ("link", "links"),
     ("group", "groups"),
     ("block", "blocks"),
--- a/crates/buckthornturn/src/subcommand/key_command.rs
+++ b/crates/buckthornturn/src/subcommand/key_command.rs
@@ -17,7 +17,7 @@
 }
 
 enum KeyAction {
-    Grant { tenant: Box<str> },
+    Grant { customer: Box<str> },
     Withdraw { key: Box<str> },
 }
 
@@ -26,7 +26,7 @@
     pub(super) fn parse(arguments: &mut Arguments) -> Result<Self, Error> {
         let link = OperatorLink::parse(arguments)?;
         let action = match &*free(arguments, "what to do (grant or withdraw)")? {
-            "grant" => KeyAction::Grant { tenant: free(arguments, "TENANT")? },
+            "grant" => KeyAction::Grant { customer: free(arguments, "CUSTOMER")? },
             "withdraw" => KeyAction::Withdraw { key: free(arguments, "KEY-ID")? },
             other => {
                 let reason = format!("`{other}` is neither grant nor withdraw");
@@ -39,8 +39,8 @@
     /// Grants or withdraws.
     pub(super) fn run(self) -> Result<(), Error> {
         match self.action {
-            KeyAction::Grant { tenant } => {
-                let body = json!({ "tenant": tenant });
+            KeyAction::Grant { customer } => {
+                let body = json!({ "customer": customer });
                 self.link.print(Method::POST, "/v1/keys", body, show_granted)
             }
             KeyAction::Withdraw { key } => {
--- a/crates/buckthornturn/tests/at_most_once.rs
+++ b/crates/buckthornturn/tests/at_most_once.rs
@@ -281,7 +281,7 @@
 }
 
 #[tokio::test]
-async fn claims_of_tenants_are_apart_and_hold_no_key() {
+async fn claims_of_customers_are_apart_and_hold_no_key() {
     let target = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
     let bench = CallerBench::start(&[target.address]).await;
     let boreal = format!("authorization: Bearer {KEY_BOREAL}");
@@ -292,7 +292,7 @@
 }
 
 #[tokio::test]
-async fn tickets_need_a_key_of_a_tenant_of_the_service() {
+async fn tickets_need_a_key_of_a_customer_of_the_service() {
     let bench = CallerBench::start(&[]).await;
     let line = "POST /.well-known/buckthornturn/ticket?service=";
     assert_eq!(bench.send(&format!("{line}other"), &[], "").await.status, 403);
--- a/crates/buckthornturn/tests/contract/callers.rs
+++ b/crates/buckthornturn/tests/contract/callers.rs
@@ -55,19 +55,19 @@
 }
 
 #[test]
-fn a_target_gets_the_tenant_and_never_the_key() {
-    let deployment = Deployment::start("tenant-header");
+fn a_target_gets_the_customer_and_never_the_key() {
+    let deployment = Deployment::start("customer-header");
     deployment.configure();
     let (_, key) = deployment.grant("x");
     let bearer = format!("Bearer {key}");
     let headers = [
         ("authorization", bearer.as_str()),
-        ("buckthornturn-tenant", "forged"),
+        ("buckthornturn-customer", "forged"),
         ("x-copy", key.as_str()),
     ];
     let answer = deployment.call(0, "GET", &format!("/keyed/1?k={key}"), &headers);
     assert_eq!(answer.status, 200, "{}\n{}", answer.head, answer.body);
-    assert_eq!(body(&answer)["tenant"], "x", "{}", answer.body);
+    assert_eq!(body(&answer)["customer"], "x", "{}", answer.body);
     assert_eq!(deployment.target.counts().keys_seen, 0);
 }
 
--- a/crates/buckthornturn/tests/contract/command_line.rs
+++ b/crates/buckthornturn/tests/contract/command_line.rs
@@ -11,7 +11,7 @@
 
 const BROKEN: &str = r#"{
   "objects": [
-    {"kind": "tenant", "name": "x", "rate_per_second": 0, "burst": 5, "services": ["s"]},
+    {"kind": "customer", "name": "x", "rate_per_second": 0, "burst": 5, "services": ["s"]},
     {"kind": "assignment", "name": "s", "service": "s", "profil": "p"}
   ]
 }"#;
--- a/crates/buckthornturn/tests/contract/deployment.rs
+++ b/crates/buckthornturn/tests/contract/deployment.rs
@@ -116,7 +116,7 @@
         path.to_str().unwrap().to_owned()
     }
 
-    /// A whole configuration with one tenant, `x`.
+    /// A whole configuration with one customer, `x`.
     pub fn configuration(&self) -> String {
         let address = self.target.address();
         let objects = json!([
@@ -134,8 +134,8 @@
               "address": address, "slots": 8, "warm_up_seconds": 0 },
             { "kind": "profile", "name": "keep the archive reachable" },
             { "kind": "assignment", "name": "memorial", "service": "memorial", "profile": "keep the archive reachable" },
-            { "kind": "tenant", "name": "x", "rate_per_second": 1000, "burst": 1000, "services": ["memorial"] },
-            { "kind": "tenant", "name": "slow", "rate_per_second": 0.001, "burst": 2, "services": ["memorial"] },
+            { "kind": "customer", "name": "x", "rate_per_second": 1000, "burst": 1000, "services": ["memorial"] },
+            { "kind": "customer", "name": "slow", "rate_per_second": 0.001, "burst": 2, "services": ["memorial"] },
         ]);
         format!("{{ \"objects\": {objects} }}")
     }
@@ -165,8 +165,8 @@
     }
 
     /// Grants a key and returns its identifier and the key.
-    pub fn grant(&self, tenant: &str) -> (String, String) {
-        let output = self.operator(&["key", "grant", tenant, "--json"], 0);
+    pub fn grant(&self, customer: &str) -> (String, String) {
+        let output = self.operator(&["key", "grant", customer, "--json"], 0);
         let answer: Value = serde_json::from_slice(&output.stdout).unwrap();
         let text = |field: &str| answer[field].as_str().unwrap().to_owned();
         (text("id"), text("key"))
--- a/crates/buckthornturn/tests/contract/operators.rs
+++ b/crates/buckthornturn/tests/contract/operators.rs
@@ -23,7 +23,7 @@
     let changed = deployment.configuration().replace("\"burst\":1000", "\"burst\":900");
     let file = deployment.file("changed.jsonc", &changed);
     let output = deployment.operator(&["apply", &file, "--dry-run"], 0);
-    assert!(text(&output).contains("~ tenant x"), "{}", text(&output));
+    assert!(text(&output).contains("~ customer x"), "{}", text(&output));
     assert!(text(&output).contains("burst: 1000.0 -> 900.0"), "{}", text(&output));
     assert_eq!(json(&deployment.operator(&["status", "--json"], 0))["revision"], before);
 }
@@ -76,10 +76,10 @@
 fn get_shows_one_object() {
     let deployment = Deployment::start("get");
     deployment.configure();
-    let tenant = json(&deployment.operator(&["get", "tenant", "x", "--json"], 1));
-    assert_eq!(tenant["rate_per_second"], 1000.0);
-    let tenants = json(&deployment.operator(&["get", "tenant", "--json"], 1));
-    assert_eq!(tenants.as_object().unwrap().len(), 2);
+    let customer = json(&deployment.operator(&["get", "customer", "x", "--json"], 1));
+    assert_eq!(customer["rate_per_second"], 1000.0);
+    let customers = json(&deployment.operator(&["get", "customer", "--json"], 1));
+    assert_eq!(customers.as_object().unwrap().len(), 2);
 }
 
 #[test]
@@ -101,7 +101,7 @@
     deployment.wait_for("the floors of both hosts", || {
         let reports = [0, 1]
             .map(|host| json(&deployment.operator(&["status", "--json"], host))["budgets"].clone());
-        let floor = |report: &Value| report["tenants"][0]["floor_rate"].as_f64().unwrap();
+        let floor = |report: &Value| report["customers"][0]["floor_rate"].as_f64().unwrap();
         let open = |report: &Value| report["targets"][0]["open"].as_bool().unwrap();
         let sum = floor(&reports[0]) + floor(&reports[1]);
         assert!(sum <= 1000.0, "{reports:?}");
--- a/crates/buckthornturn/tests/gate.rs
+++ b/crates/buckthornturn/tests/gate.rs
@@ -31,7 +31,7 @@
     slots: 4,
     rate: 50.0,
     burst: 10.0,
-    tenants: 8,
+    customers: 8,
 };
 const SMALL: FleetShape = FleetShape { hosts: 2, domains: 2, targets: 2, slots: 2, ..SHAPE };
 
@@ -159,7 +159,7 @@
 async fn a_lower_rate_is_obeyed_at_once() {
     let fleet = GateFleet::start(SHAPE).await;
     fleet.reconfigure(|state| {
-        let spec = state.tenants.get_mut("t0").unwrap();
+        let spec = state.customers.get_mut("t0").unwrap();
         (spec.rate_per_second, spec.burst) = (1.0, 2.0);
     });
     let admitted = admitted_at_once(&fleet, 0, 10).await;
--- a/crates/buckthornturn/tests/requests.rs
+++ b/crates/buckthornturn/tests/requests.rs
@@ -151,7 +151,7 @@
 }
 
 #[tokio::test]
-async fn connections_are_not_shared_between_tenants_nor_with_payments() {
+async fn connections_are_not_shared_between_customers_nor_with_payments() {
     let target = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
     let bench = CallerBench::start(&[target.address]).await;
     let boreal = format!("authorization: Bearer {}", support::KEY_BOREAL);
@@ -274,7 +274,7 @@
         &*format!("cookie: theme=dark; k={KEY_AURORA}; lang=es"),
         &*format!("x-request-id: {KEY_AURORA}"),
         &*format!("proxy-authorization: Bearer {KEY_AURORA}"),
-        "buckthornturn-tenant: boreal",
+        "buckthornturn-customer: boreal",
         "buckthornturn-other: x",
         "connection: x-hop",
         "x-hop: 1",
@@ -286,7 +286,7 @@
     assert!(!seen.contains("bt_") && !seen.contains("secret-of"), "{seen}");
     assert!(seen.starts_with("get /read?a=1&c=2 http/1.1"), "{seen}");
     assert!(seen.contains("cookie: theme=dark; lang=es\r\n"), "{seen}");
-    assert!(seen.contains("buckthornturn-tenant: aurora\r\n"), "{seen}");
+    assert!(seen.contains("buckthornturn-customer: aurora\r\n"), "{seen}");
     for gone in ["boreal", "buckthornturn-other", "x-hop", "te: ", "authorization"] {
         assert!(!seen.contains(gone), "{gone} in {seen}");
     }
--- a/crates/buckthornturn/tests/support/caller_bench.rs
+++ b/crates/buckthornturn/tests/support/caller_bench.rs
@@ -28,9 +28,9 @@
 use crate::support::exchange;
 use crate::support::request;
 
-/// Key of tenant `aurora`.
+/// Key of customer `aurora`.
 pub const KEY_AURORA: &str = "bt_ka_secret-of-aurora";
-/// Key of tenant `boreal`.
+/// Key of customer `boreal`.
 pub const KEY_BOREAL: &str = "bt_kb_secret-of-boreal";
 
 /// Options of a bench.
@@ -116,7 +116,7 @@
         exchange(self.address, request(line, headers, body)).await
     }
 
-    /// Fetches a ticket of tenant `aurora`; returns the header line with it.
+    /// Fetches a ticket of customer `aurora`; returns the header line with it.
     pub async fn ticket(&self) -> String {
         let line = "POST /.well-known/buckthornturn/ticket?service=s";
         let answer = self.send(line, &[], "").await;
@@ -158,13 +158,13 @@
             "failure_domain": "d", "address": address, "slots": options.slots,
         }));
     }
-    for (tenant, id, key) in [("aurora", "ka", KEY_AURORA), ("boreal", "kb", KEY_BOREAL)] {
+    for (customer, id, key) in [("aurora", "ka", KEY_AURORA), ("boreal", "kb", KEY_BOREAL)] {
         objects.push(json!({
-            "kind": "tenant", "name": tenant, "rate_per_second": 10_000.0, "burst": 10_000.0,
+            "kind": "customer", "name": customer, "rate_per_second": 10_000.0, "burst": 10_000.0,
             "services": ["s"],
         }));
         objects.push(json!({
-            "kind": "key", "id": id, "tenant": tenant, "sha256": key_hash(key),
+            "kind": "key", "id": id, "customer": customer, "sha256": key_hash(key),
         }));
     }
     let mut state = ConfigurationState::default();
--- a/crates/buckthornturn/tests/support/gate_fleet.rs
+++ b/crates/buckthornturn/tests/support/gate_fleet.rs
@@ -115,7 +115,7 @@
     pub slots: u32,
     pub rate: f64,
     pub burst: f64,
-    pub tenants: usize,
+    pub customers: usize,
 }
 
 /// Gates of several hosts; host `h1` stands in domain `d1` of region `r1` and so on in turn.
@@ -221,16 +221,16 @@
     pub async fn admit(
         &self,
         host: usize,
-        tenant: usize,
+        customer: usize,
     ) -> Result<AdmissionPermit, AdmissionRefusal> {
-        self.hosts[host].gate.admit(request(tenant, Duration::from_secs(5))).await
+        self.hosts[host].gate.admit(request(customer, Duration::from_secs(5))).await
     }
 }
 
-pub fn request(tenant: usize, patience: Duration) -> AdmissionRequest {
+pub fn request(customer: usize, patience: Duration) -> AdmissionRequest {
     AdmissionRequest {
         request_id: "r".into(),
-        tenant: Some(format!("t{tenant}").into()),
+        customer: Some(format!("t{customer}").into()),
         service: "s".into(),
         route: "all".into(),
         priority: PriorityClass::Normal,
@@ -320,9 +320,9 @@
             "address": "127.0.0.1:1", "slots": shape.slots
         }));
     }
-    for tenant in 0..shape.tenants {
+    for customer in 0..shape.customers {
         objects.push(json!({
-            "kind": "tenant", "name": format!("t{tenant}"), "rate_per_second": shape.rate,
+            "kind": "customer", "name": format!("t{customer}"), "rate_per_second": shape.rate,
             "burst": shape.burst, "services": ["s"]
         }));
     }
--- a/crates/coordination/benches/budget_cost.rs
+++ b/crates/coordination/benches/budget_cost.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::CustomerBudget;
+use coordination::customer_budget::RateLimit;
 use coordination::fair_queue::FairQueue;
 use coordination::fair_queue::QueueBounds;
 use coordination::fair_queue::QueueTicket;
@@ -13,8 +15,6 @@
 use coordination::floor_share::sharing_domains;
 use coordination::ids::DomainId;
 use coordination::slot_ledger::SlotLedger;
-use coordination::tenant_budget::RateLimit;
-use coordination::tenant_budget::TenantBudget;
 use coordination::token_bucket::MICRO_TOKENS;
 use criterion::BenchmarkId;
 use criterion::Criterion;
@@ -23,22 +23,22 @@
 use indexmap::IndexMap;
 
 const BOUNDS: QueueBounds =
-    QueueBounds { per_tenant: 64, total: 4_096, longest_wait: Duration::from_secs(60) };
+    QueueBounds { per_customer: 64, total: 4_096, longest_wait: Duration::from_secs(60) };
 
 fn spend(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("spend_over_tenants");
-    for tenants in [8usize, 80, 800] {
+    let mut group = criterion.benchmark_group("spend_over_customers");
+    for customers in [8usize, 80, 800] {
         let start = Instant::now();
         let limit = RateLimit { rate: u64::MAX / 4, burst: u64::MAX / 4 };
-        let mut budgets: IndexMap<Box<str>, TenantBudget> = IndexMap::new();
-        for tenant in 0..tenants {
-            let mut budget = TenantBudget::new(start);
+        let mut budgets: IndexMap<Box<str>, CustomerBudget> = IndexMap::new();
+        for customer in 0..customers {
+            let mut budget = CustomerBudget::new(start);
             budget.set_floor(limit, limit, start);
-            budgets.insert(format!("tenant-{tenant}").into(), budget);
+            budgets.insert(format!("customer-{customer}").into(), budget);
         }
         let names: Vec<Box<str>> = budgets.keys().cloned().collect();
         let mut turn = 0;
-        group.bench_function(BenchmarkId::from_parameter(tenants), |bench| {
+        group.bench_function(BenchmarkId::from_parameter(customers), |bench| {
             bench.iter(|| {
                 turn = (turn + 7) % names.len();
                 let now = start + Duration::from_secs(1);
@@ -67,25 +67,25 @@
 }
 
 fn queue(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("push_and_pop_over_waiting_tenants");
-    for tenants in [8usize, 80, 800] {
+    let mut group = criterion.benchmark_group("push_and_pop_over_waiting_customers");
+    for customers in [8usize, 80, 800] {
         let now = Instant::now();
         let deadline = now + Duration::from_secs(60);
-        let ticket = |tenant: usize| QueueTicket {
-            tenant: format!("tenant-{tenant}").into(),
+        let ticket = |customer: usize| QueueTicket {
+            customer: format!("customer-{customer}").into(),
             weight: 1,
             class: 1,
             deadline,
         };
         let mut queue = FairQueue::new(BOUNDS);
-        for tenant in 0..tenants {
-            let _ = queue.push(tenant, ticket(tenant), now);
+        for customer in 0..customers {
+            let _ = queue.push(customer, ticket(customer), now);
         }
-        let tickets: Vec<_> = (0..tenants).map(ticket).collect();
-        group.bench_function(BenchmarkId::from_parameter(tenants), |bench| {
+        let tickets: Vec<_> = (0..customers).map(ticket).collect();
+        group.bench_function(BenchmarkId::from_parameter(customers), |bench| {
             bench.iter(|| {
-                let tenant = queue.pop(now).unwrap_or_default();
-                let _ = queue.push(tenant, tickets[tenant].clone(), now);
+                let customer = queue.pop(now).unwrap_or_default();
+                let _ = queue.push(customer, tickets[customer].clone(), now);
             });
         });
     }
@@ -102,12 +102,12 @@
         });
     }
     group.finish();
-    let mut group = criterion.benchmark_group("cut_of_a_tenant_over_domains");
+    let mut group = criterion.benchmark_group("cut_of_a_customer_over_domains");
     for domains in [6usize, 108] {
         let names: Vec<DomainId> = (0..domains).map(|name| format!("d-{name}").into()).collect();
         group.bench_function(BenchmarkId::from_parameter(domains), |bench| {
             bench.iter(|| {
-                black_box(sharing_domains(names.iter(), FloorKind::Tokens, "tenant-1", 100).len())
+                black_box(sharing_domains(names.iter(), FloorKind::Tokens, "customer-1", 100).len())
             });
         });
     }
--- a/crates/coordination/benches/budget_model/fleet_model.rs
+++ b/crates/coordination/benches/budget_model/fleet_model.rs
@@ -10,15 +10,15 @@
 
 use crate::budget_model::FaultCase;
 use crate::budget_model::WayKind;
+use crate::budget_model::message_bus::CUSTOMERS;
 use crate::budget_model::message_bus::HOSTS;
 use crate::budget_model::message_bus::LIMIT;
 use crate::budget_model::message_bus::MessageBus;
-use crate::budget_model::message_bus::TENANTS;
 use crate::budget_model::way_kind::ModelRequest;
 
 const RUN: Duration = Duration::from_secs(60);
 const WARM_UP: Duration = Duration::from_secs(2);
-const HEAVY_TENANT: usize = 0;
+const HEAVY_CUSTOMER: usize = 0;
 const HEAVY_FACTOR: f64 = 5.0;
 const LOAD_FACTOR: f64 = 0.6;
 const SEED: u64 = 20_261_203;
@@ -26,11 +26,11 @@
 /// What a run showed.
 #[derive(Debug, Default)]
 pub struct ModelReport {
-    /// Refused among those of tenants inside their rate that an ideal bucket admits.
+    /// Refused among those of customers inside their rate that an ideal bucket admits.
     pub wrongful_percent: f64,
-    /// The same for the tenant that fared worst.
-    pub worst_tenant_percent: f64,
-    /// How far the tenant at five times its rate stayed below what an ideal bucket admits.
+    /// The same for the customer that fared worst.
+    pub worst_customer_percent: f64,
+    /// How far the customer at five times its rate stayed below what an ideal bucket admits.
     pub heavy_short_percent: f64,
     /// Most tokens spent beyond rate and burst.
     pub overshoot_tokens: f64,
@@ -72,12 +72,12 @@
         report(&arrivals, &bus)
     }
 
-    /// Callers of each tenant choose among the hosts that are up.
+    /// Callers of each customer choose among the hosts that are up.
     fn arrivals(&self) -> Vec<ModelArrival> {
         let mut rng = ChaCha8Rng::seed_from_u64(SEED);
         let mut arrivals = Vec::new();
-        for tenant in 0..TENANTS {
-            let factor = if tenant == HEAVY_TENANT { HEAVY_FACTOR } else { LOAD_FACTOR };
+        for customer in 0..CUSTOMERS {
+            let factor = if customer == HEAVY_CUSTOMER { HEAVY_FACTOR } else { LOAD_FACTOR };
             let rate = factor * LIMIT.rate as f64 / MICRO_TOKENS as f64;
             let mut at = Duration::ZERO;
             loop {
@@ -88,7 +88,7 @@
                 }
                 let up: Vec<_> = (0..HOSTS).filter(|host| self.case.is_up(*host, at)).collect();
                 let host = up[rng.random_range(0..up.len())];
-                arrivals.push(ModelArrival { at, request: ModelRequest { id: 0, tenant, host } });
+                arrivals.push(ModelArrival { at, request: ModelRequest { id: 0, customer, host } });
             }
         }
         arrivals.sort_by_key(|arrival| arrival.at);
@@ -100,26 +100,26 @@
 }
 
 fn report(arrivals: &[ModelArrival], bus: &MessageBus) -> ModelReport {
-    let shares: Vec<_> = (0..TENANTS).map(|tenant| compare(arrivals, bus, tenant)).collect();
+    let shares: Vec<_> = (0..CUSTOMERS).map(|customer| compare(arrivals, bus, customer)).collect();
     let light = shares.iter().skip(1);
     let (missed, due) =
         light.clone().fold((0, 0), |sum, share| (sum.0 + share.wrongful, sum.1 + share.ideal));
     let percent = |part: usize, whole: usize| 100.0 * part as f64 / whole.max(1) as f64;
-    let heavy = &shares[HEAVY_TENANT];
+    let heavy = &shares[HEAVY_CUSTOMER];
     ModelReport {
         wrongful_percent: percent(missed, due),
-        worst_tenant_percent: light
+        worst_customer_percent: light
             .map(|share| percent(share.wrongful, share.ideal))
             .fold(0.0, f64::max),
         heavy_short_percent: percent(heavy.ideal.saturating_sub(heavy.admitted), heavy.ideal),
-        overshoot_tokens: (0..TENANTS)
-            .map(|tenant| overshoot(arrivals, bus, tenant))
+        overshoot_tokens: (0..CUSTOMERS)
+            .map(|customer| overshoot(arrivals, bus, customer))
             .fold(0.0, f64::max),
         messages_per_second: bus.messages as f64 / RUN.as_secs_f64() / HOSTS as f64,
     }
 }
 
-struct TenantShare {
+struct CustomerShare {
     ideal: usize,
     admitted: usize,
     wrongful: usize,
@@ -131,10 +131,10 @@
     bucket
 }
 
-fn compare(arrivals: &[ModelArrival], bus: &MessageBus, tenant: usize) -> TenantShare {
+fn compare(arrivals: &[ModelArrival], bus: &MessageBus, customer: usize) -> CustomerShare {
     let mut bucket = ideal_bucket(bus);
-    let mut share = TenantShare { ideal: 0, admitted: 0, wrongful: 0 };
-    for arrival in arrivals.iter().filter(|arrival| arrival.request.tenant == tenant) {
+    let mut share = CustomerShare { ideal: 0, admitted: 0, wrongful: 0 };
+    for arrival in arrivals.iter().filter(|arrival| arrival.request.customer == customer) {
         bucket.fill(bus.start + arrival.at);
         let is_ideal = bucket.take(MICRO_TOKENS);
         if arrival.at < WARM_UP {
@@ -149,10 +149,10 @@
 }
 
 /// Most tokens by which what was admitted runs ahead of rate and burst.
-fn overshoot(arrivals: &[ModelArrival], bus: &MessageBus, tenant: usize) -> f64 {
+fn overshoot(arrivals: &[ModelArrival], bus: &MessageBus, customer: usize) -> f64 {
     let mut spent: Vec<_> = arrivals
         .iter()
-        .filter(|arrival| arrival.request.tenant == tenant)
+        .filter(|arrival| arrival.request.customer == customer)
         .filter_map(|arrival| bus.decisions[arrival.request.id])
         .filter_map(|(is_admitted, at)| is_admitted.then_some(at))
         .collect();
--- a/crates/coordination/benches/budget_model/floors_and_loans.rs
+++ b/crates/coordination/benches/budget_model/floors_and_loans.rs
@@ -5,14 +5,15 @@
 
 use coordination::borrow_plan::BorrowPlan;
 use coordination::borrow_plan::RoundResult;
+use coordination::customer_budget::CustomerBudget;
+use coordination::customer_budget::TokenLoan;
 use coordination::floor_share::units_at;
 use coordination::lease_term::NEAR_TOKEN_TERM;
 use coordination::lease_term::TOKEN_TERM;
-use coordination::tenant_budget::TenantBudget;
-use coordination::tenant_budget::TokenLoan;
 use coordination::token_bucket::MICRO_TOKENS;
 
 use crate::budget_model::FaultCase;
+use crate::budget_model::message_bus::CUSTOMERS;
 use crate::budget_model::message_bus::DOMAIN_OF;
 use crate::budget_model::message_bus::DOMAINS;
 use crate::budget_model::message_bus::HOSTS;
@@ -20,7 +21,6 @@
 use crate::budget_model::message_bus::MessageBus;
 use crate::budget_model::message_bus::ModelEvent;
 use crate::budget_model::message_bus::REGION_OF;
-use crate::budget_model::message_bus::TENANTS;
 use crate::budget_model::way_kind::AdmissionWay;
 use crate::budget_model::way_kind::ModelRequest;
 
@@ -33,8 +33,8 @@
 /// Time from the new plan until loans of the dead host have lapsed.
 const GAIN_AFTER: Duration = Duration::from_millis(2_100);
 
-struct TenantSide {
-    budget: TenantBudget,
+struct CustomerSide {
+    budget: CustomerBudget,
     plan: BorrowPlan,
     waiters: Vec<(usize, bool, Duration)>,
     in_round: usize,
@@ -45,15 +45,15 @@
 
 /// Floors and loans.
 pub struct FloorsAndLoans {
-    sides: Vec<Vec<TenantSide>>,
+    sides: Vec<Vec<CustomerSide>>,
     died_at: [Option<Duration>; HOSTS],
 }
 
 impl FloorsAndLoans {
     pub fn new(bus: &mut MessageBus) -> Self {
         let now = bus.now();
-        let side = || TenantSide {
-            budget: TenantBudget::new(now),
+        let side = || CustomerSide {
+            budget: CustomerBudget::new(now),
             plan: BorrowPlan::new(now),
             waiters: Vec::new(),
             in_round: 0,
@@ -61,9 +61,9 @@
             replies_due: 0,
             step: 0,
         };
-        let tenants = || (0..TENANTS).map(|_| side()).collect();
+        let customers = || (0..CUSTOMERS).map(|_| side()).collect();
         let mut way =
-            Self { sides: (0..HOSTS).map(|_| tenants()).collect(), died_at: [None; HOSTS] };
+            Self { sides: (0..HOSTS).map(|_| customers()).collect(), died_at: [None; HOSTS] };
         way.set_floors(bus);
         bus.after(FLOOR_TICK, ModelEvent::Tick);
         way
@@ -78,23 +78,23 @@
                 _ => {}
             }
         }
-        for tenant in 0..TENANTS {
+        for customer in 0..CUSTOMERS {
             for domain in 0..DOMAINS {
                 let hosts: Vec<_> = (0..HOSTS).filter(|host| DOMAIN_OF[*host] == domain).collect();
-                let first = hosts[tenant % hosts.len()];
-                let other = hosts[(tenant + 1) % hosts.len()];
+                let first = hosts[customer % hosts.len()];
+                let other = hosts[(customer + 1) % hosts.len()];
                 let is_replaced = bus.case == FaultCase::HostKilled
                     && self.died_at[first]
                         .is_some_and(|died| bus.at >= died + PLAN_CHANGE_AFTER + GAIN_AFTER);
                 let holder = if is_replaced { other } else { first };
                 for host in hosts {
-                    let position = (domain + tenant) % DOMAINS;
+                    let position = (domain + customer) % DOMAINS;
                     let units = match host == holder {
                         true => units_at(LIMIT.units(), DOMAINS, position),
                         false => 0,
                     };
                     let floor = LIMIT.fraction(units, LIMIT.units());
-                    let budget = &mut self.sides[host][tenant].budget;
+                    let budget = &mut self.sides[host][customer].budget;
                     if budget.floor() != floor || budget.limit() != LIMIT {
                         budget.set_floor(LIMIT, floor, bus.now());
                     }
@@ -103,20 +103,20 @@
         }
     }
 
-    fn start_round(&mut self, host: usize, tenant: usize, bus: &mut MessageBus) {
-        let side = &mut self.sides[host][tenant];
+    fn start_round(&mut self, host: usize, customer: usize, bus: &mut MessageBus) {
+        let side = &mut self.sides[host][customer];
         if side.plan.start() {
             side.waiters.iter_mut().for_each(|waiter| waiter.1 = true);
             side.in_round = side.waiters.len();
             side.step = 0;
-            self.take_step(host, tenant, bus);
+            self.take_step(host, customer, bus);
         }
     }
 
     /// Asks the next holder of the region, or all others together; ends the round if none is left.
-    fn take_step(&mut self, host: usize, tenant: usize, bus: &mut MessageBus) {
-        let (near, far) = self.lenders(host, tenant, bus);
-        let side = &mut self.sides[host][tenant];
+    fn take_step(&mut self, host: usize, customer: usize, bus: &mut MessageBus) {
+        let (near, far) = self.lenders(host, customer, bus);
+        let side = &mut self.sides[host][customer];
         let now = bus.now();
         let wanted = side.waiters.len() as u64 * MICRO_TOKENS;
         let (peers, wait) = match near.get(side.step) {
@@ -130,20 +130,20 @@
         };
         let loan = side.plan.step(&mut side.budget, wanted, peers.len(), now);
         let Some(loan) = loan else {
-            return self.end_round(host, tenant, bus);
+            return self.end_round(host, customer, bus);
         };
         side.step += 1;
         side.round += 1;
         side.replies_due = peers.len();
         let round = side.round;
         for to in peers {
-            bus.send(host, to, ModelEvent::Ask { from: host, to, tenant, loan, sent_at: now });
+            bus.send(host, to, ModelEvent::Ask { from: host, to, customer, loan, sent_at: now });
         }
-        bus.after(wait, ModelEvent::StepOver { host, tenant, round });
+        bus.after(wait, ModelEvent::StepOver { host, customer, round });
     }
 
-    fn end_round(&mut self, host: usize, tenant: usize, bus: &mut MessageBus) {
-        let side = &mut self.sides[host][tenant];
+    fn end_round(&mut self, host: usize, customer: usize, bus: &mut MessageBus) {
+        let side = &mut self.sides[host][customer];
         side.serve(bus);
         let left = side.waiters.iter().filter(|(_, is_in_round, _)| *is_in_round).count();
         side.round += 1;
@@ -160,14 +160,16 @@
         }
         if !side.waiters.is_empty() {
             let pause = side.plan.pause(bus.now());
-            bus.after(pause, ModelEvent::NextRound { host, tenant });
+            bus.after(pause, ModelEvent::NextRound { host, customer });
         }
     }
 
-    /// Holders of the tenant's floors that may lend: those of the region, the nearest first, and the others.
-    fn lenders(&self, host: usize, tenant: usize, bus: &MessageBus) -> (Vec<usize>, Vec<usize>) {
+    /// Holders of the customer's floors that may lend: those of the region, the nearest first, and the others.
+    fn lenders(&self, host: usize, customer: usize, bus: &MessageBus) -> (Vec<usize>, Vec<usize>) {
         let is_lender = |peer: &usize| {
-            *peer != host && bus.is_up(*peer) && self.sides[*peer][tenant].budget.floor().burst > 0
+            *peer != host
+                && bus.is_up(*peer)
+                && self.sides[*peer][customer].budget.floor().burst > 0
         };
         let region = REGION_OF[DOMAIN_OF[host]];
         let (mut near, far): (Vec<_>, Vec<_>) =
@@ -177,40 +179,40 @@
     }
 
     fn lend(&mut self, event: ModelEvent, bus: &mut MessageBus) {
-        let ModelEvent::Ask { from, to, tenant, loan, sent_at } = event else {
+        let ModelEvent::Ask { from, to, customer, loan, sent_at } = event else {
             return;
         };
         if !bus.is_up(to) {
             return;
         }
         let now = bus.now();
-        let side = &mut self.sides[to][tenant];
+        let side = &mut self.sides[to][customer];
         let own_rate = side.plan.own_rate(LIMIT, now);
         let kept = side.waiters.len() as u64 * MICRO_TOKENS;
         let is_near = REGION_OF[DOMAIN_OF[from]] == REGION_OF[DOMAIN_OF[to]];
         let term = if is_near { NEAR_TOKEN_TERM } else { TOKEN_TERM };
         let loan = side.budget.lend(TokenLoan { term, ..loan }, kept, own_rate, now);
-        bus.send(to, from, ModelEvent::Reply { to: from, tenant, loan, sent_at });
+        bus.send(to, from, ModelEvent::Reply { to: from, customer, loan, sent_at });
     }
 
     fn receive(&mut self, event: ModelEvent, bus: &mut MessageBus) {
-        let ModelEvent::Reply { to, tenant, loan, sent_at } = event else {
+        let ModelEvent::Reply { to, customer, loan, sent_at } = event else {
             return;
         };
         if !bus.is_up(to) {
             return;
         }
-        let side = &mut self.sides[to][tenant];
+        let side = &mut self.sides[to][customer];
         side.budget.receive(loan, sent_at, bus.now());
         side.replies_due = side.replies_due.saturating_sub(1);
         side.serve(bus);
         if side.replies_due == 0 {
-            self.take_step(to, tenant, bus);
+            self.take_step(to, customer, bus);
         }
     }
 }
 
-impl TenantSide {
+impl CustomerSide {
     fn serve(&mut self, bus: &mut MessageBus) {
         let now: Instant = bus.now();
         while let Some((id, ..)) = self.waiters.first().copied() {
@@ -225,9 +227,9 @@
 
 impl AdmissionWay for FloorsAndLoans {
     fn arrive(&mut self, request: ModelRequest, bus: &mut MessageBus) {
-        let ModelRequest { id, tenant, host } = request;
+        let ModelRequest { id, customer, host } = request;
         let now = bus.now();
-        let side = &mut self.sides[host][tenant];
+        let side = &mut self.sides[host][customer];
         side.plan.ask(MICRO_TOKENS, now);
         if side.waiters.is_empty() && side.budget.spend(MICRO_TOKENS, now) {
             bus.decide(id, true);
@@ -235,11 +237,11 @@
             bus.decide(id, false);
         } else if side.plan.may_borrow(now) {
             side.waiters.push((id, false, bus.at));
-            self.start_round(host, tenant, bus);
+            self.start_round(host, customer, bus);
         } else if side.plan.is_patient() {
             side.waiters.push((id, false, bus.at));
             let pause = side.plan.pause(now);
-            bus.after(pause, ModelEvent::NextRound { host, tenant });
+            bus.after(pause, ModelEvent::NextRound { host, customer });
         } else {
             bus.decide(id, false);
         }
@@ -249,15 +251,15 @@
         match event {
             ModelEvent::Ask { .. } => self.lend(event, bus),
             ModelEvent::Reply { .. } => self.receive(event, bus),
-            ModelEvent::StepOver { host, tenant, round }
-                if self.sides[host][tenant].round == round =>
+            ModelEvent::StepOver { host, customer, round }
+                if self.sides[host][customer].round == round =>
             {
-                self.take_step(host, tenant, bus);
+                self.take_step(host, customer, bus);
             }
-            ModelEvent::NextRound { host, tenant }
-                if !self.sides[host][tenant].waiters.is_empty() =>
+            ModelEvent::NextRound { host, customer }
+                if !self.sides[host][customer].waiters.is_empty() =>
             {
-                self.start_round(host, tenant, bus);
+                self.start_round(host, customer, bus);
             }
             ModelEvent::Tick => {
                 self.set_floors(bus);
--- a/crates/coordination/benches/budget_model/message_bus.rs
+++ b/crates/coordination/benches/budget_model/message_bus.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use coordination::tenant_budget::RateLimit;
-use coordination::tenant_budget::TokenLoan;
+use coordination::customer_budget::RateLimit;
+use coordination::customer_budget::TokenLoan;
 use coordination::token_bucket::MICRO_TOKENS;
 
 use crate::budget_model::FaultCase;
 
 pub const HOSTS: usize = 10;
 pub const DOMAINS: usize = 6;
-pub const TENANTS: usize = 8;
+pub const CUSTOMERS: usize = 8;
 pub const DOMAIN_OF: [usize; HOSTS] = [0, 0, 1, 1, 2, 2, 3, 3, 4, 5];
 pub const REGION_OF: [usize; DOMAINS] = [0, 0, 1, 1, 2, 2];
 pub const LIMIT: RateLimit = RateLimit { rate: 50 * MICRO_TOKENS, burst: 10 * MICRO_TOKENS };
@@ -25,13 +25,13 @@
 /// What happens at a time.
 #[derive(Clone, Debug)]
 pub enum ModelEvent {
-    Ask { from: usize, to: usize, tenant: usize, loan: TokenLoan, sent_at: Instant },
-    Reply { to: usize, tenant: usize, loan: TokenLoan, sent_at: Instant },
-    StepOver { host: usize, tenant: usize, round: u64 },
-    NextRound { host: usize, tenant: usize },
+    Ask { from: usize, to: usize, customer: usize, loan: TokenLoan, sent_at: Instant },
+    Reply { to: usize, customer: usize, loan: TokenLoan, sent_at: Instant },
+    StepOver { host: usize, customer: usize, round: u64 },
+    NextRound { host: usize, customer: usize },
     CentralAnswer { id: usize, is_admitted: bool },
-    CentralAsk { id: usize, tenant: usize, host: usize },
-    Usage { to: usize, tenant: usize, amount: u64 },
+    CentralAsk { id: usize, customer: usize, host: usize },
+    Usage { to: usize, customer: usize, amount: u64 },
     Tick,
 }
 
--- a/crates/coordination/benches/budget_model/mod.rs
+++ b/crates/coordination/benches/budget_model/mod.rs
@@ -1,4 +1,4 @@
-//! A fleet of hosts, tenants and messages in a deterministic model.
+//! A fleet of hosts, customers and messages in a deterministic model.
 
 mod central_service;
 mod fault_case;
--- a/crates/coordination/benches/budget_model/usage_gossip.rs
+++ b/crates/coordination/benches/budget_model/usage_gossip.rs
@@ -5,11 +5,11 @@
 use coordination::token_bucket::MICRO_TOKENS;
 use coordination::token_bucket::TokenBucket;
 
+use crate::budget_model::message_bus::CUSTOMERS;
 use crate::budget_model::message_bus::HOSTS;
 use crate::budget_model::message_bus::LIMIT;
 use crate::budget_model::message_bus::MessageBus;
 use crate::budget_model::message_bus::ModelEvent;
-use crate::budget_model::message_bus::TENANTS;
 use crate::budget_model::way_kind::AdmissionWay;
 use crate::budget_model::way_kind::ModelRequest;
 
@@ -33,16 +33,16 @@
         bucket.reshape(LIMIT.rate, LIMIT.burst);
         bus.after(GOSSIP_PERIOD, ModelEvent::Tick);
         let view = UsageView { bucket, debt: 0, unsent: 0 };
-        Self { views: vec![vec![view; TENANTS]; HOSTS] }
+        Self { views: vec![vec![view; CUSTOMERS]; HOSTS] }
     }
 
     fn tell(&mut self, bus: &mut MessageBus) {
         for from in 0..HOSTS {
-            for tenant in 0..TENANTS {
-                let amount = std::mem::take(&mut self.views[from][tenant].unsent);
+            for customer in 0..CUSTOMERS {
+                let amount = std::mem::take(&mut self.views[from][customer].unsent);
                 let others = (0..HOSTS).filter(|to| *to != from && amount > 0);
                 for to in others {
-                    bus.send(from, to, ModelEvent::Usage { to, tenant, amount });
+                    bus.send(from, to, ModelEvent::Usage { to, customer, amount });
                 }
             }
         }
@@ -61,7 +61,7 @@
 
 impl AdmissionWay for UsageGossip {
     fn arrive(&mut self, request: ModelRequest, bus: &mut MessageBus) {
-        let view = &mut self.views[request.host][request.tenant];
+        let view = &mut self.views[request.host][request.customer];
         view.settle(bus);
         let is_admitted = view.bucket.take(MICRO_TOKENS);
         view.unsent += if is_admitted { MICRO_TOKENS } else { 0 };
@@ -71,8 +71,8 @@
     fn wake(&mut self, event: ModelEvent, bus: &mut MessageBus) {
         match event {
             ModelEvent::Tick => self.tell(bus),
-            ModelEvent::Usage { to, tenant, amount } => {
-                let view = &mut self.views[to][tenant];
+            ModelEvent::Usage { to, customer, amount } => {
+                let view = &mut self.views[to][customer];
                 view.debt += amount;
                 view.settle(bus);
             }
--- a/crates/coordination/benches/budget_model/way_kind.rs
+++ b/crates/coordination/benches/budget_model/way_kind.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ModelRequest {
     pub id: usize,
-    pub tenant: usize,
+    pub customer: usize,
     pub host: usize,
 }
 
--- a/crates/coordination/benches/budget_ratios.rs
+++ b/crates/coordination/benches/budget_ratios.rs
@@ -1,4 +1,4 @@
-//! Compares ways to keep a tenant's rate over a fleet, in a deterministic model: refusals of requests that an ideal
+//! Compares ways to keep a customer's rate over a fleet, in a deterministic model: refusals of requests that an ideal
 //! fleet-wide bucket admits, and tokens spent beyond rate and burst. Run with `cargo bench --bench budget_ratios`.
 
 mod budget_model;
@@ -20,7 +20,7 @@
                 case.name(),
                 way.name(),
                 report.wrongful_percent,
-                report.worst_tenant_percent,
+                report.worst_customer_percent,
                 report.heavy_short_percent,
                 report.overshoot_tokens,
                 report.messages_per_second
--- a/crates/coordination/examples/embed.rs
+++ b/crates/coordination/examples/embed.rs
@@ -1,16 +1,16 @@
-//! Two hosts of one failure domain share a tenant's rate and a target's slots, without a network: the program that
+//! Two hosts of one failure domain share a customer's rate and a target's slots, without a network: the program that
 //! embeds these parts carries the messages.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::CustomerBudget;
+use coordination::customer_budget::RateLimit;
+use coordination::customer_budget::TokenLoan;
 use coordination::floor_ledger::FloorLedger;
 use coordination::floor_plan::FloorPlan;
 use coordination::floor_share::FloorKind;
 use coordination::slot_ledger::SlotLedger;
-use coordination::tenant_budget::RateLimit;
-use coordination::tenant_budget::TenantBudget;
-use coordination::tenant_budget::TokenLoan;
 use coordination::token_bucket::MICRO_TOKENS;
 
 const LOAN_TERM: Duration = Duration::from_millis(100);
@@ -23,22 +23,23 @@
     ana.advance(plan.clone(), now);
     ben.advance(plan, now);
 
-    let tenants = ["gold", "silver", "copper", "tin"];
-    for tenant in tenants {
-        let holds = [ana.holds(FloorKind::Tokens, tenant), ben.holds(FloorKind::Tokens, tenant)];
-        println!("{tenant}: ana holds {}, ben holds {}", holds[0], holds[1]);
+    let customers = ["gold", "silver", "copper", "tin"];
+    for customer in customers {
+        let holds =
+            [ana.holds(FloorKind::Tokens, customer), ben.holds(FloorKind::Tokens, customer)];
+        println!("{customer}: ana holds {}, ben holds {}", holds[0], holds[1]);
     }
 
     // One host holds the whole floor, the other borrows for a burst of its own.
     let limit = RateLimit::from_tokens(10.0, 4.0);
-    let (mut holder, mut borrower) = (TenantBudget::new(now), TenantBudget::new(now));
+    let (mut holder, mut borrower) = (CustomerBudget::new(now), CustomerBudget::new(now));
     holder.set_floor(limit, limit, now);
     borrower.set_floor(limit, RateLimit::default(), now);
     let later = now + Duration::from_secs(1);
     let asked = TokenLoan { micro_tokens: 2 * MICRO_TOKENS, rate_ppm: 0, term: LOAN_TERM };
     let loan = holder.lend(asked, 0, 0, later);
     borrower.receive(loan, later, later);
-    let spend = |budget: &mut TenantBudget| {
+    let spend = |budget: &mut CustomerBudget| {
         std::iter::repeat_with(|| budget.spend(MICRO_TOKENS, later)).take_while(|ok| *ok).count()
     };
     println!("borrower spends {}, holder spends {}", spend(&mut borrower), spend(&mut holder));
--- a/crates/coordination/src/borrow_plan.rs
+++ b/crates/coordination/src/borrow_plan.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::customer_budget::CustomerBudget;
+use crate::customer_budget::RateLimit;
+use crate::customer_budget::TokenLoan;
 use crate::demand_meter::DemandMeter;
 use crate::floor_share::WHOLE_PPM;
-use crate::tenant_budget::RateLimit;
-use crate::tenant_budget::TenantBudget;
-use crate::tenant_budget::TokenLoan;
 use crate::token_bucket::MICRO_TOKENS;
 
 const MIN_PAUSE: Duration = Duration::from_millis(5);
@@ -44,7 +44,7 @@
 
 /// When a host that runs dry asks others, and for how much. A round asks the holders one step after the other, the
 /// nearest first, each step only for what is still missing, as tokens that are moved without need are lost. One round
-/// runs at a time. After several that brought too little it pauses ever longer, so that a tenant over its rate causes
+/// runs at a time. After several that brought too little it pauses ever longer, so that a customer over its rate causes
 /// a bounded number of messages.
 #[derive(Clone, Debug)]
 pub struct BorrowPlan {
@@ -107,7 +107,7 @@
     /// What one step of a round asks each of `peers` holders for, to cover `wanted` tokens; `None` if they are here.
     pub fn step(
         &mut self,
-        budget: &mut TenantBudget,
+        budget: &mut CustomerBudget,
         wanted: u64,
         peers: usize,
         now: Instant,
--- a/crates/coordination/src/tenant_budget.rs
+++ b/crates/coordination/src/customer_budget.rs
@@ -1,4 +1,4 @@
-//! One host's part of a tenant's rate and burst.
+//! One host's part of a customer's rate and burst.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,7 +13,7 @@
 
 const MAX_LEASES: usize = 256;
 
-/// A tenant's limit over the whole fleet, in millionths of a token.
+/// A customer's limit over the whole fleet, in millionths of a token.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RateLimit {
     /// Tokens that come each second.
@@ -62,7 +62,7 @@
 pub struct TokenLoan {
     /// Tokens outright, in millionths.
     pub micro_tokens: u64,
-    /// Part of the tenant's whole rate and burst for a term, in parts per million.
+    /// Part of the customer's whole rate and burst for a term, in parts per million.
     pub rate_ppm: u32,
     /// Time from the moment that it was asked for within which the tokens must be spent and the rate used; the
     /// lender sets it.
@@ -83,11 +83,11 @@
     until: Instant,
 }
 
-/// One host's part of a tenant's rate and burst: a floor, less what is lent, plus what is borrowed. Over all hosts
+/// One host's part of a customer's rate and burst: a floor, less what is lent, plus what is borrowed. Over all hosts
 /// the capacities never add up to more than the burst, nor the rates to more than the rate: a loan leaves its lender
 /// before the borrower has it, and comes back to the lender after the borrower's term has ended.
 #[derive(Clone, Debug)]
-pub struct TenantBudget {
+pub struct CustomerBudget {
     limit: RateLimit,
     floor: RateLimit,
     bucket: TokenBucket,
@@ -95,7 +95,7 @@
     borrowed: Vec<TokenLease>,
 }
 
-impl TenantBudget {
+impl CustomerBudget {
     /// A budget that holds nothing yet.
     pub fn new(now: Instant) -> Self {
         Self {
@@ -142,7 +142,7 @@
         self.bucket.rate()
     }
 
-    /// The tenant's limit over the whole fleet.
+    /// The customer's limit over the whole fleet.
     pub fn limit(&self) -> RateLimit {
         self.limit
     }
@@ -158,7 +158,7 @@
         !self.lent.is_empty()
     }
 
-    /// Time until tokens may be here: by this host's own rate, or else by the tenant's whole rate.
+    /// Time until tokens may be here: by this host's own rate, or else by the customer's whole rate.
     pub fn time_until(&mut self, amount: u64, now: Instant) -> Duration {
         self.advance(now);
         let missing = amount.saturating_sub(self.bucket.level());
--- a/crates/coordination/src/fair_queue.rs
+++ b/crates/coordination/src/fair_queue.rs
@@ -1,4 +1,4 @@
-//! A bounded queue that shares slots among tenants by weight.
+//! A bounded queue that shares slots among customers by weight.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::TenantId;
+use crate::ids::CustomerId;
 
 /// Classes of a queue; class 0 goes first.
 pub const QUEUE_CLASSES: usize = 3;
@@ -17,8 +17,8 @@
 /// Bounds of a queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueueBounds {
-    /// Most that wait for one tenant.
-    pub per_tenant: usize,
+    /// Most that wait for one customer.
+    pub per_customer: usize,
     /// Most that wait in all.
     pub total: usize,
     /// Longest wait.
@@ -28,8 +28,8 @@
 /// What is put into a queue beside the item.
 #[derive(Clone, Debug)]
 pub struct QueueTicket {
-    /// Tenant.
-    pub tenant: TenantId,
+    /// Customer.
+    pub customer: CustomerId,
     /// Its share relative to others.
     pub weight: u32,
     /// Class.
@@ -41,7 +41,7 @@
 /// Why an item was not taken, and when to come back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QueueRefusal {
-    /// The queue, or the tenant's part of it, is full.
+    /// The queue, or the customer's part of it, is full.
     Full(Duration),
     /// Its turn would come after its deadline.
     TooLate(Duration),
@@ -54,7 +54,7 @@
 }
 
 #[derive(Debug)]
-struct TenantLine<T> {
+struct CustomerLine<T> {
     entries: VecDeque<QueueEntry<T>>,
     weight: u32,
     deficit: u32,
@@ -62,12 +62,12 @@
 
 #[derive(Debug)]
 struct ClassRing<T> {
-    lines: IndexMap<TenantId, TenantLine<T>>,
+    lines: IndexMap<CustomerId, CustomerLine<T>>,
     next: usize,
     passed_over: u32,
 }
 
-/// A bounded queue: deficit round robin over tenants within a class, the most urgent class first, and a lower class
+/// A bounded queue: deficit round robin over customers within a class, the most urgent class first, and a lower class
 /// after it was passed over a number of times. Items whose turn would come too late are refused when they arrive.
 #[derive(Debug)]
 pub struct FairQueue<T> {
@@ -131,15 +131,15 @@
         let Some(ring) = self.classes.get_mut(ticket.class.min(QUEUE_CLASSES - 1)) else {
             return Err((item, QueueRefusal::Full(wait)));
         };
-        let line_length = ring.lines.get(&ticket.tenant).map_or(0, |line| line.entries.len());
-        if self.waiting >= self.bounds.total || line_length >= self.bounds.per_tenant {
+        let line_length = ring.lines.get(&ticket.customer).map_or(0, |line| line.entries.len());
+        if self.waiting >= self.bounds.total || line_length >= self.bounds.per_customer {
             return Err((item, QueueRefusal::Full(wait)));
         }
         if wait > allowed {
             return Err((item, QueueRefusal::TooLate(wait - allowed)));
         }
         let deadline = ticket.deadline.min(now + self.bounds.longest_wait);
-        let line = ring.lines.entry(ticket.tenant).or_insert_with(TenantLine::new);
+        let line = ring.lines.entry(ticket.customer).or_insert_with(CustomerLine::new);
         line.weight = ticket.weight.max(1);
         line.entries.push_back(QueueEntry { item, deadline });
         self.waiting += 1;
@@ -165,7 +165,7 @@
     /// Puts an item back at the front of its line; its turn is not counted.
     pub fn put_back(&mut self, item: T, ticket: QueueTicket) {
         let Some(ring) = self.classes.get_mut(ticket.class.min(QUEUE_CLASSES - 1)) else { return };
-        let line = ring.lines.entry(ticket.tenant).or_insert_with(TenantLine::new);
+        let line = ring.lines.entry(ticket.customer).or_insert_with(CustomerLine::new);
         line.weight = ticket.weight.max(1);
         line.deficit = line.deficit.saturating_add(1);
         line.entries.push_front(QueueEntry { item, deadline: ticket.deadline });
@@ -219,13 +219,13 @@
         self.lines.values().map(|line| line.entries.len()).sum()
     }
 
-    /// Items of this class that go before a new one: those of its own tenant, and of each other at most its share.
+    /// Items of this class that go before a new one: those of its own customer, and of each other at most its share.
     fn turns_before(&self, ticket: &QueueTicket) -> usize {
-        let own = self.lines.get(&ticket.tenant).map_or(0, |line| line.entries.len());
+        let own = self.lines.get(&ticket.customer).map_or(0, |line| line.entries.len());
         let weight = usize::try_from(ticket.weight.max(1)).unwrap_or(1);
         let rounds = own / weight + 1;
-        let others = self.lines.iter().filter(|(tenant, _)| **tenant != ticket.tenant);
-        let share = |line: &TenantLine<T>| {
+        let others = self.lines.iter().filter(|(customer, _)| **customer != ticket.customer);
+        let share = |line: &CustomerLine<T>| {
             let weight = usize::try_from(line.weight).unwrap_or(1);
             line.entries.len().min(rounds.saturating_mul(weight))
         };
@@ -252,7 +252,7 @@
     }
 }
 
-impl<T> TenantLine<T> {
+impl<T> CustomerLine<T> {
     fn new() -> Self {
         Self { entries: VecDeque::new(), weight: 1, deficit: 0 }
     }
--- a/crates/coordination/src/floor_share.rs
+++ b/crates/coordination/src/floor_share.rs
@@ -13,7 +13,7 @@
 pub enum FloorKind {
     /// Slots of a target.
     Slots,
-    /// Rate and burst of a tenant.
+    /// Rate and burst of a customer.
     Tokens,
     /// Bytes of a link.
     Bytes,
--- a/crates/coordination/src/ids.rs
+++ b/crates/coordination/src/ids.rs
@@ -6,8 +6,8 @@
 pub type DomainId = Box<str>;
 /// Name of a region.
 pub type RegionId = Box<str>;
-/// Name of a tenant.
-pub type TenantId = Box<str>;
+/// Name of a customer.
+pub type CustomerId = Box<str>;
 /// Name of a target.
 pub type TargetId = Box<str>;
 /// Name of a service.
--- a/crates/coordination/src/outcome_table.rs
+++ b/crates/coordination/src/outcome_table.rs
@@ -5,15 +5,15 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::TenantId;
+use crate::ids::CustomerId;
 
 /// Bounds of an `OutcomeTable`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OutcomeBounds {
     /// Most entries.
     pub max_entries: usize,
-    /// Most entries of one tenant.
-    pub max_entries_per_tenant: usize,
+    /// Most entries of one customer.
+    pub max_entries_per_customer: usize,
     /// Most bytes of answers kept to be replayed, over all entries.
     pub max_bytes: usize,
 }
@@ -54,13 +54,13 @@
 pub struct OutcomeTable<A> {
     bounds: OutcomeBounds,
     entries: IndexMap<Box<str>, OutcomeRow<A>>,
-    tenants: IndexMap<TenantId, usize>,
+    customers: IndexMap<CustomerId, usize>,
     bytes: usize,
     sweep_at: Option<Instant>,
 }
 
 struct OutcomeRow<A> {
-    tenant: TenantId,
+    customer: CustomerId,
     expires: Instant,
     outcome: Option<KnownOutcome<A>>,
 }
@@ -74,7 +74,7 @@
         Self {
             bounds,
             entries: IndexMap::new(),
-            tenants: IndexMap::new(),
+            customers: IndexMap::new(),
             bytes: 0,
             sweep_at: None,
         }
@@ -99,7 +99,7 @@
     pub fn begin(
         &mut self,
         id: &str,
-        tenant: &str,
+        customer: &str,
         expires: Instant,
         now: Instant,
     ) -> OutcomeBegin<A> {
@@ -107,9 +107,9 @@
         match self.entries.get(id) {
             Some(OutcomeRow { outcome: Some(outcome), .. }) => OutcomeBegin::Known(outcome.clone()),
             Some(_) => OutcomeBegin::Running,
-            None if !self.has_room(tenant) => OutcomeBegin::Full,
+            None if !self.has_room(customer) => OutcomeBegin::Full,
             None => {
-                self.insert(id, tenant, expires, None);
+                self.insert(id, customer, expires, None);
                 OutcomeBegin::First
             }
         }
@@ -148,7 +148,7 @@
     pub fn adopt(
         &mut self,
         id: &str,
-        tenant: &str,
+        customer: &str,
         expires: Instant,
         outcome: KnownOutcome<A>,
         now: Instant,
@@ -157,12 +157,12 @@
         if self.entries.contains_key(id) {
             return true;
         }
-        if !self.has_room(tenant) {
+        if !self.has_room(customer) {
             return false;
         }
         let outcome = self.fit(outcome);
         self.bytes += size_of_outcome(&outcome);
-        self.insert(id, tenant, expires, Some(outcome));
+        self.insert(id, customer, expires, Some(outcome));
         true
     }
 
@@ -178,28 +178,28 @@
             .collect()
     }
 
-    fn has_room(&self, tenant: &str) -> bool {
-        let used = self.tenants.get(tenant).copied().unwrap_or(0);
-        self.entries.len() < self.bounds.max_entries && used < self.bounds.max_entries_per_tenant
+    fn has_room(&self, customer: &str) -> bool {
+        let used = self.customers.get(customer).copied().unwrap_or(0);
+        self.entries.len() < self.bounds.max_entries && used < self.bounds.max_entries_per_customer
     }
 
     fn insert(
         &mut self,
         id: &str,
-        tenant: &str,
+        customer: &str,
         expires: Instant,
         outcome: Option<KnownOutcome<A>>,
     ) {
-        *self.tenants.entry(tenant.into()).or_default() += 1;
-        self.entries.insert(id.into(), OutcomeRow { tenant: tenant.into(), expires, outcome });
+        *self.customers.entry(customer.into()).or_default() += 1;
+        self.entries.insert(id.into(), OutcomeRow { customer: customer.into(), expires, outcome });
     }
 
     fn remove(&mut self, id: &str) {
         let Some(row) = self.entries.swap_remove(id) else { return };
         self.bytes -= row.outcome.as_ref().map_or(0, size_of_outcome);
-        match self.tenants.get_mut(&row.tenant) {
+        match self.customers.get_mut(&row.customer) {
             Some(used) if *used > 1 => *used -= 1,
-            _ => drop(self.tenants.swap_remove(&row.tenant)),
+            _ => drop(self.customers.swap_remove(&row.customer)),
         }
     }
 
--- a/crates/coordination/src/ticket.rs
+++ b/crates/coordination/src/ticket.rs
@@ -12,10 +12,10 @@
 use sha2::Sha256;
 use snafu::Snafu;
 
+use crate::ids::CustomerId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
-use crate::ids::TenantId;
 
 /// Longest text that is read as a ticket, in bytes.
 pub const MAX_TICKET_BYTES: usize = 1_024;
@@ -38,8 +38,8 @@
     /// Its life has ended.
     #[snafu(display("the ticket has expired"))]
     Expired,
-    /// It was issued to another tenant or for another service.
-    #[snafu(display("the ticket was issued to another tenant or for another service"))]
+    /// It was issued to another customer or for another service.
+    #[snafu(display("the ticket was issued to another customer or for another service"))]
     Foreign,
 }
 
@@ -50,8 +50,8 @@
     pub host: HostId,
     /// Process start that issued it.
     pub incarnation: Incarnation,
-    /// Tenant that it was issued to.
-    pub tenant: TenantId,
+    /// Customer that it was issued to.
+    pub customer: CustomerId,
     /// Service that it is for.
     pub service: ServiceId,
     /// End of its life, in milliseconds since the issuer's start by the issuer's monotonic clock.
@@ -74,7 +74,7 @@
         let claims = Self {
             host: field()?.into(),
             incarnation: field()?.parse().map_err(|_| TicketError::Malformed)?,
-            tenant: field()?.into(),
+            customer: field()?.into(),
             service: field()?.into(),
             expires_ms: field()?.parse().map_err(|_| TicketError::Malformed)?,
             nonce: field()?.into(),
@@ -86,10 +86,10 @@
     }
 
     fn payload(&self) -> String {
-        let Self { host, incarnation, tenant, service, expires_ms, nonce } = self;
+        let Self { host, incarnation, customer, service, expires_ms, nonce } = self;
         let separator = FIELD_SEPARATOR;
         format!(
-            "{host}{separator}{incarnation}{separator}{tenant}{separator}{service}{separator}\
+            "{host}{separator}{incarnation}{separator}{customer}{separator}{service}{separator}\
              {expires_ms}{separator}{nonce}"
         )
     }
@@ -131,7 +131,7 @@
     /// Issues a ticket.
     pub fn issue(
         &self,
-        tenant: TenantId,
+        customer: CustomerId,
         service: ServiceId,
         now: Instant,
         random: &mut impl Rng,
@@ -142,7 +142,7 @@
         let claims = TicketClaims {
             host: self.host.clone(),
             incarnation: self.incarnation,
-            tenant,
+            customer,
             service,
             expires_ms: expires.as_millis() as u64,
             nonce: URL_SAFE_NO_PAD.encode(nonce).into(),
@@ -152,7 +152,7 @@
         format!("{}.{}", URL_SAFE_NO_PAD.encode(payload), URL_SAFE_NO_PAD.encode(code)).into()
     }
 
-    /// Proves that this process issued a ticket to a tenant for a service. Returns the rest of its life.
+    /// Proves that this process issued a ticket to a customer for a service. Returns the rest of its life.
     ///
     /// # Errors
     ///
@@ -160,7 +160,7 @@
     pub fn prove(
         &self,
         text: &str,
-        tenant: &str,
+        customer: &str,
         service: &str,
         now: Instant,
     ) -> Result<Duration, TicketError> {
@@ -170,7 +170,7 @@
         if !self.is_issuer(&claims) {
             return Err(TicketError::Forged);
         }
-        if &*claims.tenant != tenant || &*claims.service != service {
+        if &*claims.customer != customer || &*claims.service != service {
             return Err(TicketError::Foreign);
         }
         let age = now.saturating_duration_since(self.started);
--- a/crates/coordination/tests/budgets.rs
+++ b/crates/coordination/tests/budgets.rs
@@ -1,14 +1,14 @@
-//! Budgets of tenants under lost, doubled and late messages, pauses and slow clocks.
+//! Budgets of customers under lost, doubled and late messages, pauses and slow clocks.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::customer_budget::CustomerBudget;
+use coordination::customer_budget::RateLimit;
+use coordination::customer_budget::TokenLoan;
 use coordination::lease_term::LEASE_TERM;
 use coordination::lease_term::NEAR_TOKEN_TERM;
 use coordination::lease_term::TOKEN_TERM;
-use coordination::tenant_budget::RateLimit;
-use coordination::tenant_budget::TenantBudget;
-use coordination::tenant_budget::TokenLoan;
 use coordination::token_bucket::MICRO_TOKENS;
 use coordination::token_bucket::TokenBucket;
 use proptest::prelude::*;
@@ -39,7 +39,7 @@
     start: Instant,
     elapsed: Duration,
     limit: RateLimit,
-    budgets: Vec<TenantBudget>,
+    budgets: Vec<CustomerBudget>,
     ideal: TokenBucket,
     messages: Vec<Message>,
 }
@@ -50,7 +50,7 @@
         let limit = RateLimit { rate: rate * MICRO_TOKENS, burst: burst * MICRO_TOKENS };
         let mut ideal = TokenBucket::new(start);
         ideal.reshape(limit.rate, limit.burst);
-        let mut budgets = vec![TenantBudget::new(start); HOSTS];
+        let mut budgets = vec![CustomerBudget::new(start); HOSTS];
         for budget in &mut budgets {
             budget.set_floor(limit, limit.fraction(1, HOSTS as u64), start);
         }
@@ -184,9 +184,9 @@
     TokenLoan { micro_tokens: tokens * MICRO_TOKENS, rate_ppm, term }
 }
 
-fn full_budget(rate: u64, burst: u64, ppm: u32, start: Instant) -> TenantBudget {
+fn full_budget(rate: u64, burst: u64, ppm: u32, start: Instant) -> CustomerBudget {
     let limit = RateLimit { rate: rate * MICRO_TOKENS, burst: burst * MICRO_TOKENS };
-    let mut budget = TenantBudget::new(start);
+    let mut budget = CustomerBudget::new(start);
     budget.set_floor(limit, limit.part(ppm), start);
     budget
 }
--- a/crates/coordination/tests/outcome_table.rs
+++ b/crates/coordination/tests/outcome_table.rs
@@ -12,7 +12,7 @@
 use proptest::prelude::*;
 
 const BOUNDS: OutcomeBounds =
-    OutcomeBounds { max_entries: 8, max_entries_per_tenant: 3, max_bytes: 100 };
+    OutcomeBounds { max_entries: 8, max_entries_per_customer: 3, max_bytes: 100 };
 const LIFE: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Debug, PartialEq)]
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn one_tenant_cannot_fill_the_table() {
+fn one_customer_cannot_fill_the_table() {
     let (mut table, now) = (table(), Instant::now());
     for id in ["a", "b", "c"] {
         assert_eq!(table.begin(id, "large", now + LIFE, now), OutcomeBegin::First);
@@ -97,7 +97,7 @@
 
 fn step() -> impl Strategy<Value = TableStep> {
     prop_oneof![
-        4 => (0_u8..12, 0_u8..4).prop_map(|(id, tenant)| TableStep::Begin(id, tenant)),
+        4 => (0_u8..12, 0_u8..4).prop_map(|(id, customer)| TableStep::Begin(id, customer)),
         3 => (0_u8..12, 0_usize..80).prop_map(|(id, size)| TableStep::Finish(id, size)),
         1 => (0_u8..12).prop_map(TableStep::Release),
         1 => (0_u64..12).prop_map(TableStep::Wait),
@@ -118,8 +118,8 @@
         let mut begun: IndexMap<u8, Instant> = IndexMap::new();
         for step in steps {
             match step {
-                TableStep::Begin(id, tenant) => {
-                    let begin = table.begin(&id.to_string(), &tenant.to_string(), now + LIFE, now);
+                TableStep::Begin(id, customer) => {
+                    let begin = table.begin(&id.to_string(), &customer.to_string(), now + LIFE, now);
                     if begin == OutcomeBegin::First {
                         let known = begun.insert(id, now + LIFE);
                         prop_assert!(known.is_none_or(|expires| expires <= now));
--- a/crates/coordination/tests/queues.rs
+++ b/crates/coordination/tests/queues.rs
@@ -13,10 +13,10 @@
 use rand_chacha::ChaCha8Rng;
 
 const BOUNDS: QueueBounds =
-    QueueBounds { per_tenant: 20, total: 100, longest_wait: Duration::from_secs(2) };
+    QueueBounds { per_customer: 20, total: 100, longest_wait: Duration::from_secs(2) };
 
-fn ticket(tenant: &str, weight: u32, class: usize, deadline: Instant) -> QueueTicket {
-    QueueTicket { tenant: tenant.into(), weight, class, deadline }
+fn ticket(customer: &str, weight: u32, class: usize, deadline: Instant) -> QueueTicket {
+    QueueTicket { customer: customer.into(), weight, class, deadline }
 }
 
 fn queue_of(
@@ -24,10 +24,10 @@
     now: Instant,
 ) -> FairQueue<&'static str> {
     let mut queue = FairQueue::new(BOUNDS);
-    for (tenant, weight, class, count) in entries {
+    for (customer, weight, class, count) in entries {
         for _ in 0..*count {
             let deadline = now + Duration::from_secs(10);
-            let taken = queue.push(*tenant, ticket(tenant, *weight, *class, deadline), now);
+            let taken = queue.push(*customer, ticket(customer, *weight, *class, deadline), now);
             assert!(taken.is_ok());
         }
     }
@@ -41,16 +41,16 @@
             let now = Instant::now();
             let mut queue = queue_of(&$entries, now);
             let served: Vec<_> = (0..$take).filter_map(|_| queue.pop(now)).collect();
-            for (tenant, count) in $counts {
-                let seen = served.iter().filter(|name| **name == tenant).count();
-                assert_eq!(seen, count, "{tenant} in {served:?}");
+            for (customer, count) in $counts {
+                let seen = served.iter().filter(|name| **name == customer).count();
+                assert_eq!(seen, count, "{customer} in {served:?}");
             }
         }
     )*};
 }
 
 served_first! {
-    a_heavy_tenant_gets_an_equal_share:
+    a_heavy_customer_gets_an_equal_share:
         [("heavy", 1, 1, 20), ("light", 1, 1, 4)], 8 => [("heavy", 4), ("light", 4)],
     shares_follow_weights:
         [("gold", 3, 1, 12), ("plain", 1, 1, 12)], 8 => [("gold", 6), ("plain", 2)],
--- a/crates/coordination/tests/ticket.rs
+++ b/crates/coordination/tests/ticket.rs
@@ -25,8 +25,8 @@
             let (host, incarnation, seed) = $issued;
             let ticket = issuer(host, incarnation, seed, now)
                 .issue("aurora".into(), "pay".into(), now, &mut random);
-            let (tenant, service) = $shown;
-            let result = issuer("host-1", 5, 1, now).prove(&ticket, tenant, service, now + $after);
+            let (customer, service) = $shown;
+            let result = issuer("host-1", 5, 1, now).prove(&ticket, customer, service, now + $after);
             assert_eq!(result.err(), $result);
         }
     )*};
@@ -37,7 +37,7 @@
         issued ("host-1", 5, 1), shown ("aurora", "pay"), after Duration::from_secs(59) => None,
     ticket_ends_with_its_life:
         issued ("host-1", 5, 1), shown ("aurora", "pay"), after LIFE => Some(TicketError::Expired),
-    ticket_of_another_tenant_is_refused:
+    ticket_of_another_customer_is_refused:
         issued ("host-1", 5, 1), shown ("boreal", "pay"), after Duration::ZERO => Some(TicketError::Foreign),
     ticket_of_another_service_is_refused:
         issued ("host-1", 5, 1), shown ("aurora", "book"), after Duration::ZERO => Some(TicketError::Foreign),
@@ -55,7 +55,7 @@
     let ticket = issuer.issue("aurora".into(), "pay".into(), now, &mut random);
     let claims = TicketClaims::read(&ticket).unwrap();
     assert!(issuer.is_issuer(&claims));
-    assert_eq!((&*claims.tenant, &*claims.service), ("aurora", "pay"));
+    assert_eq!((&*claims.customer, &*claims.service), ("aurora", "pay"));
 }
 
 proptest! {
--- a/crates/standin/examples/proxy_overhead.rs
+++ b/crates/standin/examples/proxy_overhead.rs
@@ -66,7 +66,7 @@
     let operators = JsonClient::with_token(host.operators(), TOKEN);
     let changes = json!({ "changes": configuration(target.address()) });
     operators.call(Method::POST, "/v1/apply", changes).await?;
-    let granted = operators.call(Method::POST, "/v1/keys", json!({ "tenant": "a" })).await?;
+    let granted = operators.call(Method::POST, "/v1/keys", json!({ "customer": "a" })).await?;
     let key = granted["key"].as_str().unwrap_or_default().to_owned();
     tokio::time::sleep(Duration::from_secs(2)).await;
     let (mut direct, mut proxied) = (Vec::new(), Vec::new());
@@ -96,7 +96,7 @@
                 "address": target, "slots": 10_000, "warm_up_seconds": 0 }),
         json!({ "kind": "profile", "name": "p" }),
         json!({ "kind": "assignment", "name": "a", "service": "s", "profile": "p" }),
-        json!({ "kind": "tenant", "name": "a", "rate_per_second": 1e6, "burst": 1e6,
+        json!({ "kind": "customer", "name": "a", "rate_per_second": 1e6, "burst": 1e6,
                 "services": ["s"] }),
     ];
     objects.into_iter().map(|object| json!({ "operation": "put", "object": object })).collect()
--- a/crates/standin/examples/slow_streams.rs
+++ b/crates/standin/examples/slow_streams.rs
@@ -78,7 +78,7 @@
                 "address": target.address(), "slots": 10_000, "warm_up_seconds": 0 }),
         json!({ "kind": "profile", "name": "p" }),
         json!({ "kind": "assignment", "name": "a", "service": "s", "profile": "p" }),
-        json!({ "kind": "tenant", "name": "a", "rate_per_second": 1e6, "burst": 1e6,
+        json!({ "kind": "customer", "name": "a", "rate_per_second": 1e6, "burst": 1e6,
                 "services": ["s"] }),
     ];
     let changes: Vec<_> =
@@ -92,7 +92,7 @@
             Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
         }
     }
-    let granted = operators.call(Method::POST, "/v1/keys", json!({ "tenant": "a" })).await?;
+    let granted = operators.call(Method::POST, "/v1/keys", json!({ "customer": "a" })).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
     Ok(granted["key"].as_str().unwrap_or_default().into())
 }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -1,4 +1,4 @@
-//! A whole small deployment inside one process, with callers of all tenants for a bounded time.
+//! A whole small deployment inside one process, with callers of all customers for a bounded time.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -11,7 +11,7 @@
 use crate::load::LoadReport;
 use crate::report_table::report_text;
 
-/// Part of a tenant's rate that its callers send.
+/// Part of a customer's rate that its callers send.
 const RATE_SHARE: f64 = 0.6;
 const SEED: u64 = 1;
 
@@ -26,11 +26,11 @@
     let (plan, _) =
         deployment.standard_load(kind, duration.as_secs_f64(), RATE_SHARE, SEED).await?;
     println!(
-        "{}: a store, {} entry hosts, {} targets and callers of {} tenants, ready after {:.1} s; load for {} s\n",
+        "{}: a store, {} entry hosts, {} targets and callers of {} customers, ready after {:.1} s; load for {} s\n",
         kind.name(),
         deployment.hosts.len(),
         deployment.targets.len(),
-        plan.tenants.len(),
+        plan.customers.len(),
         started.elapsed().as_secs_f64(),
         duration.as_secs()
     );
--- a/crates/standin/src/deployment/fleet_deployment.rs
+++ b/crates/standin/src/deployment/fleet_deployment.rs
@@ -34,7 +34,7 @@
 const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A key granted to a tenant.
+/// A key granted to a customer.
 #[derive(Clone, Debug)]
 pub struct GrantedKey {
     /// Identifier, to withdraw it.
@@ -180,13 +180,14 @@
             .context(OperatorSnafu { action: path })
     }
 
-    /// Grants a tenant a key.
+    /// Grants a customer a key.
     ///
     /// # Errors
     ///
-    /// Fails if the tenant does not exist or the change is not accepted.
-    pub async fn grant(&self, tenant: &str) -> Result<GrantedKey, DeploymentError> {
-        let answer = self.operate(Method::POST, "/v1/keys", json!({ "tenant": tenant })).await?;
+    /// Fails if the customer does not exist or the change is not accepted.
+    pub async fn grant(&self, customer: &str) -> Result<GrantedKey, DeploymentError> {
+        let answer =
+            self.operate(Method::POST, "/v1/keys", json!({ "customer": customer })).await?;
         let text = |name: &str| answer[name].as_str().unwrap_or_default().into();
         let revision = answer["revision"].as_u64().unwrap_or(0);
         Ok(GrantedKey { id: text("id"), key: text("key"), revision })
--- a/crates/standin/src/deployment/standard_load.rs
+++ b/crates/standin/src/deployment/standard_load.rs
@@ -1,15 +1,15 @@
 //! The mix of requests that each deployment's callers send.
 
 use buckthornturn::configuration::ConfigObject;
-use buckthornturn::configuration::TenantSpec;
+use buckthornturn::configuration::CustomerSpec;
 use indexmap::IndexMap;
 
 use crate::deployment::DeploymentError;
 use crate::deployment::DeploymentKind;
 use crate::deployment::FleetDeployment;
+use crate::load::CustomerLoad;
 use crate::load::LoadPlan;
 use crate::load::RequestTemplate;
-use crate::load::TenantLoad;
 
 const TIMEOUT_MS: u64 = 30_000;
 const MAX_REQUESTS: usize = 200_000;
@@ -19,8 +19,8 @@
 const PIECE_PAUSE_MS: u64 = 5;
 
 impl FleetDeployment {
-    /// Callers of every tenant, each with a key of its own, that send a share of their rates; and the identifiers of
-    /// the keys by tenant.
+    /// Callers of every customer, each with a key of its own, that send a share of their rates; and the identifiers of
+    /// the keys by customer.
     ///
     /// # Errors
     ///
@@ -32,14 +32,14 @@
         rate_share: f64,
         seed: u64,
     ) -> Result<(LoadPlan, IndexMap<Box<str>, Box<str>>), DeploymentError> {
-        let mut tenants = Vec::new();
+        let mut customers = Vec::new();
         let mut key_ids = IndexMap::new();
         let mut revision = 0;
-        let specs: Vec<&TenantSpec> = self
+        let specs: Vec<&CustomerSpec> = self
             .objects
             .iter()
             .filter_map(|object| match object {
-                ConfigObject::Tenant(spec) => Some(spec),
+                ConfigObject::Customer(spec) => Some(spec),
                 _ => None,
             })
             .collect();
@@ -47,8 +47,8 @@
             let granted = self.grant(&spec.name).await?;
             key_ids.insert(spec.name.clone(), granted.id);
             revision = granted.revision;
-            tenants.push(TenantLoad {
-                tenant: spec.name.clone(),
+            customers.push(CustomerLoad {
+                customer: spec.name.clone(),
                 key: granted.key,
                 requests_per_second: spec.rate_per_second * rate_share,
                 rate_per_second: spec.rate_per_second,
@@ -64,10 +64,10 @@
             seconds,
             seed,
             timeout_ms: TIMEOUT_MS,
-            max_requests_per_tenant: MAX_REQUESTS,
-            max_in_flight_per_tenant: MAX_IN_FLIGHT,
+            max_requests_per_customer: MAX_REQUESTS,
+            max_in_flight_per_customer: MAX_IN_FLIGHT,
             requests: requests_of(kind),
-            tenants,
+            customers,
         };
         Ok((plan, key_ids))
     }
--- a/crates/standin/src/experiment/experiment_plan.rs
+++ b/crates/standin/src/experiment/experiment_plan.rs
@@ -24,10 +24,10 @@
     /// Seed.
     #[serde(default)]
     pub seed: u64,
-    /// Part of each tenant's rate that its callers send.
+    /// Part of each customer's rate that its callers send.
     #[serde(default = "default_rate_share")]
     pub rate_share: f64,
-    /// Tenants that send several times as much for a while.
+    /// Customers that send several times as much for a while.
     #[serde(default)]
     pub surges: Vec<PlannedSurge>,
     /// How targets behave; the slots are those of the configuration.
@@ -44,12 +44,12 @@
     pub faults: Vec<TimedFault>,
 }
 
-/// A tenant that sends several times as much for a while.
+/// A customer that sends several times as much for a while.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlannedSurge {
-    /// Number of the tenant, from 0.
-    pub tenant: usize,
+    /// Number of the customer, from 0.
+    pub customer: usize,
     /// Start, in seconds.
     pub from_s: f64,
     /// End, in seconds.
--- a/crates/standin/src/experiment/experiment_report.rs
+++ b/crates/standin/src/experiment/experiment_report.rs
@@ -17,11 +17,11 @@
 /// The quantities that both users measure, and the promises that must hold.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ExperimentMeasures {
-    /// Greatest 50th percentile of a tenant, in milliseconds.
+    /// Greatest 50th percentile of a customer, in milliseconds.
     pub worst_p50_ms: f64,
-    /// Greatest 99th percentile of a tenant, in milliseconds.
+    /// Greatest 99th percentile of a customer, in milliseconds.
     pub worst_p99_ms: f64,
-    /// 99th percentile of the worst-served tenant over that of the median tenant.
+    /// 99th percentile of the worst-served customer over that of the median customer.
     pub worst_to_median_p99: f64,
     /// Least share of free slots in a region that was up, after the first second.
     pub least_headroom: f64,
@@ -30,7 +30,7 @@
     pub drain_time_s: Option<f64>,
     /// Requests refused for the rate while the ideal bucket had a token, in parts of all requests.
     pub wrongful_refusal_share: f64,
-    /// Most requests beyond rate and burst of a tenant that were certainly admitted inside one window.
+    /// Most requests beyond rate and burst of a customer that were certainly admitted inside one window.
     pub overshoot: f64,
     /// Seconds from the acceptance of a withdrawal to the last request sent that was answered with the key.
     pub withdrawn_key_last_answer_s: Option<f64>,
@@ -73,13 +73,13 @@
         faults: &[AppliedFault],
         headroom: &[HeadroomSample],
     ) -> Self {
-        let worst = |value: fn(&crate::load::TenantReport) -> f64| {
-            load.tenants.iter().map(value).fold(0.0, f64::max)
+        let worst = |value: fn(&crate::load::CustomerReport) -> f64| {
+            load.customers.iter().map(value).fold(0.0, f64::max)
         };
         let share = |count: u64| count as f64 / load.requests.max(1) as f64;
         Self {
-            worst_p50_ms: worst(|tenant| tenant.latency.p50_ms),
-            worst_p99_ms: worst(|tenant| tenant.latency.p99_ms),
+            worst_p50_ms: worst(|customer| customer.latency.p50_ms),
+            worst_p99_ms: worst(|customer| customer.latency.p99_ms),
             worst_to_median_p99: load.worst_to_median_p99,
             least_headroom: least_headroom(headroom),
             drain_time_s: drain_time(records, faults),
@@ -141,14 +141,14 @@
     records: &[RequestRecord],
     faults: &[AppliedFault],
 ) -> Option<f64> {
-    let fault = faults.iter().find(|fault| fault.withdrawn_tenant.is_some())?;
-    let tenant = load
-        .tenants
+    let fault = faults.iter().find(|fault| fault.withdrawn_customer.is_some())?;
+    let customer = load
+        .customers
         .iter()
-        .position(|tenant| Some(&tenant.tenant) == fault.withdrawn_tenant.as_ref())?;
+        .position(|customer| Some(&customer.customer) == fault.withdrawn_customer.as_ref())?;
     let last = records
         .iter()
-        .filter(|record| record.tenant == tenant && record.keyed)
+        .filter(|record| record.customer == customer && record.keyed)
         .filter(|record| matches!(record.end, RequestEnd::Answered { .. }))
         .map(|record| record.sent.as_secs_f64())
         .fold(fault.done_s, f64::max);
--- a/crates/standin/src/experiment/experiment_run.rs
+++ b/crates/standin/src/experiment/experiment_run.rs
@@ -20,9 +20,9 @@
 use crate::experiment::fleet_sampler::FleetSampler;
 use crate::experiment::report_picture::draw;
 use crate::experiment::second_series::SecondSeries;
+use crate::load::CustomerSurge;
 use crate::load::LoadDriver;
 use crate::load::LoadReport;
-use crate::load::TenantSurge;
 
 /// Time for which hosts settle before the load begins.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -72,9 +72,9 @@
         .await
         .context(DeploymentSnafu)?;
     for surge in &plan.surges {
-        if let Some(tenant) = load.tenants.get_mut(surge.tenant) {
+        if let Some(customer) = load.customers.get_mut(surge.customer) {
             let (from_s, to_s, factor) = (surge.from_s, surge.to_s, surge.factor);
-            tenant.surges.push(TenantSurge { from_s, to_s, factor });
+            customer.surges.push(CustomerSurge { from_s, to_s, factor });
         }
     }
     tokio::time::sleep(SETTLE_TIME).await;
--- a/crates/standin/src/experiment/fault_action.rs
+++ b/crates/standin/src/experiment/fault_action.rs
@@ -114,10 +114,10 @@
         /// Faults.
         faults: FaultPlan,
     },
-    /// Withdraws the key of a tenant's callers, who go on showing it.
+    /// Withdraws the key of a customer's callers, who go on showing it.
     WithdrawKey {
-        /// Tenant.
-        tenant: usize,
+        /// Customer.
+        customer: usize,
     },
     /// Orders a failure domain to be drained.
     DrainDomain {
@@ -136,7 +136,7 @@
     },
     /// Takes every drain order back.
     Undrain,
-    /// Two operators change the same tenant through different hosts at once, several times.
+    /// Two operators change the same customer through different hosts at once, several times.
     RaceOperators {
         /// Rounds.
         rounds: usize,
--- a/crates/standin/src/experiment/fault_runner.rs
+++ b/crates/standin/src/experiment/fault_runner.rs
@@ -34,8 +34,8 @@
     pub drained_targets: Vec<Box<str>>,
     /// Whether drained targets may get work again from here on.
     pub ends_drains: bool,
-    /// Tenant whose key was withdrawn.
-    pub withdrawn_tenant: Option<Box<str>>,
+    /// Customer whose key was withdrawn.
+    pub withdrawn_customer: Option<Box<str>>,
 }
 
 /// Brings faults about in a deployment.
@@ -47,7 +47,7 @@
 }
 
 impl<'a> FaultRunner<'a> {
-    /// A runner; `key_ids` are the identifiers of the keys that tenants' callers show.
+    /// A runner; `key_ids` are the identifiers of the keys that customers' callers show.
     pub fn new(
         deployment: &'a mut FleetDeployment,
         key_ids: IndexMap<Box<str>, Box<str>>,
@@ -70,7 +70,7 @@
                 error: None,
                 drained_targets: Vec::new(),
                 ends_drains: matches!(fault.action, FaultAction::Undrain),
-                withdrawn_tenant: None,
+                withdrawn_customer: None,
             };
             if let Err(error) = self.apply(&fault.action, &mut record).await {
                 record.error = Some(error.to_string().into());
@@ -251,11 +251,11 @@
         record: &mut AppliedFault,
     ) -> Result<(), DeploymentError> {
         match action {
-            FaultAction::WithdrawKey { tenant } => {
-                let name = part_name("tenant", self.key_ids.keys(), *tenant)?;
+            FaultAction::WithdrawKey { customer } => {
+                let name = part_name("customer", self.key_ids.keys(), *customer)?;
                 record.what = format!("withdraw the key of {name}").into();
                 let path = format!("/v1/keys/{}", self.key_ids[&name]);
-                record.withdrawn_tenant = Some(name);
+                record.withdrawn_customer = Some(name);
                 self.deployment.operate(Method::DELETE, &path, Value::Null).await?;
             }
             FaultAction::DrainDomain { domain } => {
@@ -311,19 +311,20 @@
         Ok(())
     }
 
-    /// Rounds in which two operators give the same tenant different weights on the same expected revision; returns
+    /// Rounds in which two operators give the same customer different weights on the same expected revision; returns
     /// how many changes were accepted, of which there may be one a round.
     async fn race(&mut self, rounds: usize) -> Result<usize, DeploymentError> {
         let mut accepted = 0;
         for _ in 0..rounds {
             let state =
                 self.deployment.operate(Method::GET, "/v1/configuration", Value::Null).await?;
-            let tenant = state["tenants"].as_object().and_then(|tenants| tenants.values().next());
-            let tenant = tenant.cloned().unwrap_or_default();
-            let weight = tenant["weight"].as_u64().unwrap_or(1);
+            let customer =
+                state["customers"].as_object().and_then(|customers| customers.values().next());
+            let customer = customer.cloned().unwrap_or_default();
+            let weight = customer["weight"].as_u64().unwrap_or(1);
             let body = |step: u64| {
-                let mut object = tenant.clone();
-                object["kind"] = "tenant".into();
+                let mut object = customer.clone();
+                object["kind"] = "customer".into();
                 object["weight"] = json!((weight + step) % MAX_RACED_WEIGHT + 1);
                 let change = json!({ "operation": "put", "object": object });
                 json!({ "changes": [change], "expected": state["revision"] })
--- a/crates/standin/src/experiment/report_picture.rs
+++ b/crates/standin/src/experiment/report_picture.rs
@@ -57,7 +57,7 @@
     let (title, rest) = root.split_vertically(TITLE_HEIGHT);
     let measures = &report.measures;
     let text = format!(
-        "{} ({}): {:.2}% answered, worst tenant p99 {:.0} ms, wrongful refusals {:.3}%, overshoot {:.1}",
+        "{} ({}): {:.2}% answered, worst customer p99 {:.0} ms, wrongful refusals {:.3}%, overshoot {:.1}",
         report.name,
         report.deployment.name(),
         100.0 * measures.answered_share,
@@ -96,7 +96,7 @@
     let answers = answers.iter().map(|(name, values)| (name.clone(), counts(values)));
     let panel = |title, lines, logarithmic| Panel { title, lines, logarithmic };
     vec![
-        panel("99th percentile of latency by tenant, in ms", latency.collect(), true),
+        panel("99th percentile of latency by customer, in ms", latency.collect(), true),
         panel("free slots by region, in percent", headroom, false),
         panel("requests not answered in each second, by reason", unanswered.collect(), false),
         panel("answers in each second, by the target's failure domain", answers.collect(), false),
--- a/crates/standin/src/experiment/second_series.rs
+++ b/crates/standin/src/experiment/second_series.rs
@@ -12,7 +12,7 @@
 /// What happened in each second.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct SecondSeries {
-    /// 99th percentile of latency by tenant, in milliseconds, by the second of the planned start; 0 without answers.
+    /// 99th percentile of latency by customer, in milliseconds, by the second of the planned start; 0 without answers.
     pub p99_ms: IndexMap<Box<str>, Vec<f64>>,
     /// Requests that did not end in an answer by reason, by the second of the planned start.
     pub unanswered: IndexMap<Box<str>, Vec<u64>>,
@@ -25,16 +25,16 @@
     pub fn of(plan: &LoadPlan, records: &[RequestRecord], deployment: &FleetDeployment) -> Self {
         let seconds = plan.seconds.ceil() as usize;
         let mut series = Self::default();
-        for (index, load) in plan.tenants.iter().enumerate() {
+        for (index, load) in plan.customers.iter().enumerate() {
             let mut by_second: Vec<Vec<&RequestRecord>> = vec![Vec::new(); seconds];
-            for record in records.iter().filter(|record| record.tenant == index) {
+            for record in records.iter().filter(|record| record.customer == index) {
                 let bulk = plan.requests[record.request].bulk;
                 if matches!(record.end, RequestEnd::Answered { .. }) && !bulk {
                     by_second[second(record.planned.as_secs_f64(), seconds)].push(record);
                 }
             }
             let p99 = by_second.into_iter().map(|own| LatencySummary::of(own).p99_ms).collect();
-            series.p99_ms.insert(load.tenant.clone(), p99);
+            series.p99_ms.insert(load.customer.clone(), p99);
         }
         for record in records {
             series.count(record, deployment, seconds);
--- a/crates/standin/src/load/caller_session.rs
+++ b/crates/standin/src/load/caller_session.rs
@@ -12,9 +12,9 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use crate::load::CustomerLoad;
 use crate::load::RequestEnd;
 use crate::load::RequestTemplate;
-use crate::load::TenantLoad;
 use crate::load::connection_pool::ConnectionPool;
 use crate::load::content_check::ContentCheck;
 use crate::load::request_body::caller_body;
@@ -45,9 +45,9 @@
     pub target: Option<Box<str>>,
 }
 
-/// One tenant's callers.
+/// One customer's callers.
 pub struct CallerSession {
-    load: TenantLoad,
+    load: CustomerLoad,
     pool: ConnectionPool,
     steering: SteeringCache,
 }
@@ -61,7 +61,7 @@
 
 impl CallerSession {
     /// A session that knows some entry hosts.
-    pub fn new(load: TenantLoad, entry_hosts: Vec<SocketAddr>) -> Self {
+    pub fn new(load: CustomerLoad, entry_hosts: Vec<SocketAddr>) -> Self {
         let pool = ConnectionPool::default();
         let steering = SteeringCache::new(entry_hosts, pool.clone());
         Self { load, pool, steering }
@@ -173,8 +173,8 @@
         match outcome {
             Some(outcome) => refusal(status, &outcome, response.into_body()).await,
             None if status.is_success() => {
-                let tenant = (!template.open).then_some(&*self.load.tenant);
-                let check = ContentCheck { template, id, tenant };
+                let customer = (!template.open).then_some(&*self.load.customer);
+                let check = ContentCheck { template, id, customer };
                 check.judge(status.as_u16(), response.into_body()).await
             }
             None => match response.into_body().collect().await {
--- a/crates/standin/src/load/connection_pool.rs
+++ b/crates/standin/src/load/connection_pool.rs
@@ -21,7 +21,7 @@
 /// Sender of one connection.
 pub type CallerSender = SendRequest<CallerBody>;
 
-/// Idle connections by address, of one tenant's callers.
+/// Idle connections by address, of one customer's callers.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<IndexMap<SocketAddr, Vec<CallerSender>>>>,
--- a/crates/standin/src/load/content_check.rs
+++ b/crates/standin/src/load/content_check.rs
@@ -18,8 +18,8 @@
     pub template: &'a RequestTemplate,
     /// Identifier that was sent.
     pub id: &'a str,
-    /// Tenant that the request belongs to; `None` if it was sent without a key.
-    pub tenant: Option<&'a str>,
+    /// Customer that the request belongs to; `None` if it was sent without a key.
+    pub customer: Option<&'a str>,
 }
 
 impl ContentCheck<'_> {
@@ -57,7 +57,7 @@
             return RequestEnd::WrongAnswer;
         };
         let own = echo["request_id"] == self.id
-            && echo["tenant"].as_str() == self.tenant
+            && echo["customer"].as_str() == self.customer
             && echo["path"] == path
             && echo["body_bytes"] == self.template.body_bytes
             && echo["body_sha256"] == *body_digest(self.id, self.template.body_bytes);
--- a/crates/standin/src/load/tenant_report.rs
+++ b/crates/standin/src/load/customer_report.rs
@@ -1,13 +1,13 @@
-//! What one tenant's callers saw.
+//! What one customer's callers saw.
 
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use serde::Serialize;
 
+use crate::load::CustomerLoad;
 use crate::load::LoadPlan;
 use crate::load::RequestEnd;
 use crate::load::RequestRecord;
-use crate::load::TenantLoad;
 use crate::load::ideal_bucket::wrongful_refusals;
 use crate::load::overshoot_meter::peak_overshoot;
 
@@ -31,11 +31,11 @@
     pub max_ms: f64,
 }
 
-/// What one tenant's callers saw.
+/// What one customer's callers saw.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct TenantReport {
-    /// Tenant.
-    pub tenant: Box<str>,
+pub struct CustomerReport {
+    /// Customer.
+    pub customer: Box<str>,
     /// Requests planned.
     pub requests: u64,
     /// Whole answers of targets.
@@ -75,11 +75,14 @@
     }
 }
 
-impl TenantReport {
-    /// Report of a tenant's records.
-    pub fn of(plan: &LoadPlan, load: &TenantLoad, records: &[&RequestRecord]) -> Self {
-        let mut report =
-            Self { tenant: load.tenant.clone(), requests: records.len() as u64, ..Self::default() };
+impl CustomerReport {
+    /// Report of a customer's records.
+    pub fn of(plan: &LoadPlan, load: &CustomerLoad, records: &[&RequestRecord]) -> Self {
+        let mut report = Self {
+            customer: load.customer.clone(),
+            requests: records.len() as u64,
+            ..Self::default()
+        };
         for record in records {
             match &record.end {
                 RequestEnd::Answered { status } => {
--- a/crates/standin/src/load/ideal_bucket.rs
+++ b/crates/standin/src/load/ideal_bucket.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use crate::load::CustomerLoad;
 use crate::load::RequestRecord;
-use crate::load::TenantLoad;
 
 /// A bucket that knows of every request at once.
 #[derive(Clone, Debug)]
@@ -37,7 +37,7 @@
 
 /// Refusals for the rate at moments when the ideal bucket had a token left. An admitted request counts from the
 /// moment that it was sent, a refusal from the moment that it came, so that doubt goes against the count.
-pub fn wrongful_refusals(load: &TenantLoad, records: &[&RequestRecord]) -> u64 {
+pub fn wrongful_refusals(load: &CustomerLoad, records: &[&RequestRecord]) -> u64 {
     let mut events: Vec<(Duration, bool)> = records
         .iter()
         .filter_map(|record| match record {
--- a/crates/standin/src/load/load_driver.rs
+++ b/crates/standin/src/load/load_driver.rs
@@ -37,8 +37,8 @@
     /// Sends every request and waits for the last end.
     pub async fn run(&self) -> Vec<RequestRecord> {
         let mut tasks = JoinSet::new();
-        for tenant in 0..self.plan.tenants.len() {
-            tasks.spawn(drive_tenant(Arc::clone(&self.plan), self.start, tenant));
+        for customer in 0..self.plan.customers.len() {
+            tasks.spawn(drive_customer(Arc::clone(&self.plan), self.start, customer));
         }
         let mut records: Vec<_> = tasks.join_all().await.into_iter().flatten().collect();
         records.sort_by_key(|record| record.planned);
@@ -46,25 +46,29 @@
     }
 }
 
-async fn drive_tenant(plan: Arc<LoadPlan>, start: Instant, tenant: usize) -> Vec<RequestRecord> {
-    let load = plan.tenants[tenant].clone();
+async fn drive_customer(
+    plan: Arc<LoadPlan>,
+    start: Instant,
+    customer: usize,
+) -> Vec<RequestRecord> {
+    let load = plan.customers[customer].clone();
     let session = Arc::new(CallerSession::new(load, plan.entry_hosts.clone()));
-    let permits = Arc::new(Semaphore::new(plan.max_in_flight_per_tenant));
+    let permits = Arc::new(Semaphore::new(plan.max_in_flight_per_customer));
     let mut requests = JoinSet::new();
     let mut records = Vec::new();
-    for (number, planned) in plan_requests(&plan, tenant).into_iter().enumerate() {
+    for (number, planned) in plan_requests(&plan, customer).into_iter().enumerate() {
         tokio::time::sleep_until((start + planned.at).into()).await;
         while let Some(Ok(record)) = requests.try_join_next() {
             records.push(record);
         }
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            records.push(not_sent(tenant, &planned));
+            records.push(not_sent(customer, &planned));
             continue;
         };
         let (plan, session) = (Arc::clone(&plan), Arc::clone(&session));
         requests.spawn(async move {
             let _permit = permit;
-            send_one(&plan, &session, start, tenant, number, planned).await
+            send_one(&plan, &session, start, customer, number, planned).await
         });
     }
     while let Some(result) = requests.join_next().await {
@@ -74,14 +78,14 @@
 }
 
 /// Arrivals of a Poisson process, with kinds drawn by weight.
-fn plan_requests(plan: &LoadPlan, tenant: usize) -> Vec<PlannedRequest> {
-    let load = &plan.tenants[tenant];
+fn plan_requests(plan: &LoadPlan, customer: usize) -> Vec<PlannedRequest> {
+    let load = &plan.customers[customer];
     let kinds = plan.requests_of(load);
     let total: f64 = kinds.iter().map(|index| plan.requests[*index].weight).sum();
-    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed.wrapping_add(tenant as u64));
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed.wrapping_add(customer as u64));
     let mut planned = Vec::new();
     let mut at = 0.0;
-    while planned.len() < plan.max_requests_per_tenant && !kinds.is_empty() {
+    while planned.len() < plan.max_requests_per_customer && !kinds.is_empty() {
         let rate = load.rate_at(at);
         if rate <= 0.0 {
             break;
@@ -106,12 +110,12 @@
     plan: &LoadPlan,
     session: &CallerSession,
     start: Instant,
-    tenant: usize,
+    customer: usize,
     number: usize,
     planned: PlannedRequest,
 ) -> RequestRecord {
     let template = &plan.requests[planned.request];
-    let id = format!("{:x}-{tenant}-{number}", plan.seed);
+    let id = format!("{:x}-{customer}-{number}", plan.seed);
     let sent = start.elapsed();
     let mut result = SessionResult::default();
     let sending = session.send(template, &id, &mut result);
@@ -121,7 +125,7 @@
         _ => RequestEnd::TimedOut,
     };
     RequestRecord {
-        tenant,
+        customer,
         keyed: !template.open,
         request: planned.request,
         ids: result.ids,
@@ -136,9 +140,9 @@
     }
 }
 
-fn not_sent(tenant: usize, planned: &PlannedRequest) -> RequestRecord {
+fn not_sent(customer: usize, planned: &PlannedRequest) -> RequestRecord {
     RequestRecord {
-        tenant,
+        customer,
         keyed: false,
         request: planned.request,
         ids: Vec::new(),
--- a/crates/standin/src/load/load_plan.rs
+++ b/crates/standin/src/load/load_plan.rs
@@ -27,16 +27,16 @@
     /// Time after which a caller gives a request up, in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
-    /// Most requests of one tenant in the whole run.
+    /// Most requests of one customer in the whole run.
     #[serde(default = "default_max_requests")]
-    pub max_requests_per_tenant: usize,
-    /// Most requests of one tenant in flight; further ones are counted as not sent.
+    pub max_requests_per_customer: usize,
+    /// Most requests of one customer in flight; further ones are counted as not sent.
     #[serde(default = "default_max_in_flight")]
-    pub max_in_flight_per_tenant: usize,
+    pub max_in_flight_per_customer: usize,
     /// Kinds of requests.
     pub requests: Vec<RequestTemplate>,
-    /// Tenants.
-    pub tenants: Vec<TenantLoad>,
+    /// Customers.
+    pub customers: Vec<CustomerLoad>,
 }
 
 /// One kind of request.
@@ -66,20 +66,20 @@
     /// Whether it is sent without a key.
     #[serde(default)]
     pub open: bool,
-    /// Whether it is large, so that its latency is kept apart from the tenant's.
+    /// Whether it is large, so that its latency is kept apart from the customer's.
     #[serde(default)]
     pub bulk: bool,
-    /// Share of the tenant's requests relative to the other kinds.
+    /// Share of the customer's requests relative to the other kinds.
     #[serde(default = "default_weight")]
     pub weight: f64,
 }
 
-/// What one tenant's callers send.
+/// What one customer's callers send.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct TenantLoad {
-    /// Tenant.
-    pub tenant: Box<str>,
+pub struct CustomerLoad {
+    /// Customer.
+    pub customer: Box<str>,
     /// Its key.
     pub key: Box<str>,
     /// Requests a second that are sent.
@@ -93,13 +93,13 @@
     pub services: Vec<Box<str>>,
     /// Times at which it sends several times as much.
     #[serde(default)]
-    pub surges: Vec<TenantSurge>,
+    pub surges: Vec<CustomerSurge>,
 }
 
-/// A time at which a tenant sends several times as much.
+/// A time at which a customer sends several times as much.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct TenantSurge {
+pub struct CustomerSurge {
     /// Start, in seconds of the run.
     pub from_s: f64,
     /// End, in seconds of the run.
@@ -119,8 +119,8 @@
         Duration::from_millis(self.timeout_ms)
     }
 
-    /// Kinds of requests that a tenant sends, by index.
-    pub fn requests_of(&self, load: &TenantLoad) -> Vec<usize> {
+    /// Kinds of requests that a customer sends, by index.
+    pub fn requests_of(&self, load: &CustomerLoad) -> Vec<usize> {
         let used = |request: &RequestTemplate| {
             load.services.is_empty() || load.services.contains(&request.service)
         };
@@ -128,7 +128,7 @@
     }
 }
 
-impl TenantLoad {
+impl CustomerLoad {
     /// Requests a second at a moment of the run.
     pub fn rate_at(&self, seconds: f64) -> f64 {
         let surge = self.surges.iter().find(|surge| (surge.from_s..surge.to_s).contains(&seconds));
--- a/crates/standin/src/load/load_report.rs
+++ b/crates/standin/src/load/load_report.rs
@@ -3,17 +3,17 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
+use crate::load::CustomerReport;
 use crate::load::LatencySummary;
 use crate::load::LoadPlan;
 use crate::load::RequestEnd;
 use crate::load::RequestRecord;
-use crate::load::TenantReport;
 
 /// Result of a load.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct LoadReport {
-    /// Tenants in the order of the plan.
-    pub tenants: Vec<TenantReport>,
+    /// Customers in the order of the plan.
+    pub customers: Vec<CustomerReport>,
     /// Latency of whole answers by kind of request.
     pub latency_by_request: IndexMap<Box<str>, LatencySummary>,
     /// Answers by the failure domain of the entry host.
@@ -26,7 +26,7 @@
     pub answered: u64,
     /// Refusals for the rate while the ideal bucket had a token.
     pub wrongful_refusals: u64,
-    /// Greatest overshoot of a tenant.
+    /// Greatest overshoot of a customer.
     pub overshoot: f64,
     /// Requests that must run at most once and ran more often.
     pub executed_twice: u64,
@@ -40,7 +40,7 @@
     pub false_not_run_ends: IndexMap<Box<str>, u64>,
     /// Requests that must run at most once and went without a ticket.
     pub without_ticket: u64,
-    /// 99th percentile of the worst-served tenant over that of the median tenant.
+    /// 99th percentile of the worst-served customer over that of the median customer.
     pub worst_to_median_p99: f64,
 }
 
@@ -52,13 +52,13 @@
         executions: &IndexMap<Box<str>, u32>,
     ) -> Self {
         let mut report = Self { requests: records.len() as u64, ..Self::default() };
-        for (index, load) in plan.tenants.iter().enumerate() {
-            let own: Vec<_> = records.iter().filter(|record| record.tenant == index).collect();
-            let tenant = TenantReport::of(plan, load, &own);
-            report.answered += tenant.answered;
-            report.wrongful_refusals += tenant.wrongful_refusals;
-            report.overshoot = report.overshoot.max(tenant.overshoot);
-            report.tenants.push(tenant);
+        for (index, load) in plan.customers.iter().enumerate() {
+            let own: Vec<_> = records.iter().filter(|record| record.customer == index).collect();
+            let customer = CustomerReport::of(plan, load, &own);
+            report.answered += customer.answered;
+            report.wrongful_refusals += customer.wrongful_refusals;
+            report.overshoot = report.overshoot.max(customer.overshoot);
+            report.customers.push(customer);
         }
         for (index, template) in plan.requests.iter().enumerate() {
             let answered = records.iter().filter(|record| {
@@ -72,7 +72,7 @@
         }
         report.answers_by_domain.sort_keys();
         report.answers_by_target.sort_keys();
-        report.worst_to_median_p99 = worst_to_median(&report.tenants);
+        report.worst_to_median_p99 = worst_to_median(&report.customers);
         report
     }
 
@@ -114,11 +114,11 @@
     }
 }
 
-fn worst_to_median(tenants: &[TenantReport]) -> f64 {
-    let mut values: Vec<_> = tenants
+fn worst_to_median(customers: &[CustomerReport]) -> f64 {
+    let mut values: Vec<_> = customers
         .iter()
-        .filter(|tenant| tenant.latency.count > 0)
-        .map(|tenant| tenant.latency.p99_ms)
+        .filter(|customer| customer.latency.count > 0)
+        .map(|customer| customer.latency.p99_ms)
         .collect();
     values.sort_by(f64::total_cmp);
     match (values.last(), values.get(values.len() / 2)) {
--- a/crates/standin/src/load/overshoot_meter.rs
+++ b/crates/standin/src/load/overshoot_meter.rs
@@ -1,4 +1,4 @@
-//! Requests admitted beyond a tenant's rate and burst.
+//! Requests admitted beyond a customer's rate and burst.
 
 use std::time::Duration;
 
--- a/crates/standin/src/load/request_record.rs
+++ b/crates/standin/src/load/request_record.rs
@@ -56,9 +56,9 @@
 /// One request with its times since the start of the run.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
-    /// Index of the tenant in the plan.
-    pub tenant: usize,
-    /// Whether it showed the tenant's key.
+    /// Index of the customer in the plan.
+    pub customer: usize,
+    /// Whether it showed the customer's key.
     pub keyed: bool,
     /// Index of the kind of request in the plan.
     pub request: usize,
@@ -88,7 +88,7 @@
         self.ended.saturating_sub(self.planned)
     }
 
-    /// Whether it spent the tenant's rate: a target has, or may have, taken it.
+    /// Whether it spent the customer's rate: a target has, or may have, taken it.
     pub fn admitted(&self) -> bool {
         matches!(
             self.end,
@@ -96,7 +96,7 @@
         )
     }
 
-    /// Whether it was refused for the tenant's rate.
+    /// Whether it was refused for the customer's rate.
     pub fn refused_for_rate(&self) -> bool {
         matches!(self.end, RequestEnd::Refused { status: 429, .. })
     }
--- a/crates/standin/src/load/steering_cache.rs
+++ b/crates/standin/src/load/steering_cache.rs
@@ -56,7 +56,7 @@
 }
 
 impl SteeringCache {
-    /// A cache that asks the entry hosts through a tenant's connections.
+    /// A cache that asks the entry hosts through a customer's connections.
     pub fn new(entry_hosts: Vec<SocketAddr>, pool: ConnectionPool) -> Self {
         Self {
             entry_hosts,
--- a/crates/standin/src/measure/fleet_scale.rs
+++ b/crates/standin/src/measure/fleet_scale.rs
@@ -86,16 +86,16 @@
 
 /// Seconds from the answer to an operator until a change is in force on every host.
 async fn change_times(deployment: &FleetDeployment) -> Result<Vec<f64>, MeasureError> {
-    let tenant = deployment.objects.iter().find_map(|object| match object {
-        ConfigObject::Tenant(spec) => Some(spec.clone()),
+    let customer = deployment.objects.iter().find_map(|object| match object {
+        ConfigObject::Customer(spec) => Some(spec.clone()),
         _ => None,
     });
     let mut times = Vec::new();
-    let mut spec = tenant.ok_or(MeasureError::Usage { reason: "no tenant".into() })?;
+    let mut spec = customer.ok_or(MeasureError::Usage { reason: "no customer".into() })?;
     for _ in 0..CHANGES {
         tokio::time::sleep(CHANGE_PAUSE).await;
         spec.burst += 1.0;
-        let change = json!({ "operation": "put", "object": ConfigObject::Tenant(spec.clone()) });
+        let change = json!({ "operation": "put", "object": ConfigObject::Customer(spec.clone()) });
         let body = json!({ "changes": [change] });
         let answer =
             deployment.operate(Method::POST, "/v1/apply", body).await.context(DeploymentSnafu)?;
--- a/crates/standin/src/report_table.rs
+++ b/crates/standin/src/report_table.rs
@@ -9,7 +9,7 @@
 use crate::load::LoadReport;
 use crate::target::TargetCounts;
 
-/// Latency by tenant, refusals by reason, answers by failure domain and what the targets counted.
+/// Latency by customer, refusals by reason, answers by failure domain and what the targets counted.
 pub fn report_text(report: &LoadReport, deployment: &FleetDeployment) -> String {
     let mut text = load_text(report);
     let counts: Vec<_> = deployment.targets.values().map(|target| target.counts()).collect();
@@ -100,25 +100,25 @@
     let _ = writeln!(
         text,
         "{:<22} {:>8} {:>8} {:>9} {:>9} {:>9} {:>8} {:>9}",
-        "tenant", "requests", "answered", "p50 ms", "p99 ms", "max ms", "wrongful", "overshoot"
+        "customer", "requests", "answered", "p50 ms", "p99 ms", "max ms", "wrongful", "overshoot"
     );
-    for tenant in &report.tenants {
-        let latency = &tenant.latency;
+    for customer in &report.customers {
+        let latency = &customer.latency;
         let _ = writeln!(
             text,
             "{:<22} {:>8} {:>8} {:>9.2} {:>9.2} {:>9.2} {:>8} {:>9.1}",
-            tenant.tenant,
-            tenant.requests,
-            tenant.answered,
+            customer.customer,
+            customer.requests,
+            customer.answered,
             latency.p50_ms,
             latency.p99_ms,
             latency.max_ms,
-            tenant.wrongful_refusals,
-            tenant.overshoot
+            customer.wrongful_refusals,
+            customer.overshoot
         );
     }
     let mut reasons: IndexMap<&str, u64> = IndexMap::new();
-    for (reason, count) in report.tenants.iter().flat_map(|tenant| &tenant.unanswered) {
+    for (reason, count) in report.customers.iter().flat_map(|customer| &customer.unanswered) {
         *reasons.entry(reason).or_default() += count;
     }
     let _ = writeln!(text, "\nnot answered, by reason: {}", counts_text(&reasons));
@@ -127,8 +127,8 @@
         writeln!(text, "answers by failure domain of the entry host: {}", counts_text(&domains));
     let _ = writeln!(
         text,
-        "requests {}, answered {}, wrongful refusals {}, greatest overshoot {:.1}, worst tenant's p99 over the \
-         median tenant's {:.2}",
+        "requests {}, answered {}, wrongful refusals {}, greatest overshoot {:.1}, worst customer's p99 over the \
+         median customer's {:.2}",
         report.requests,
         report.answered,
         report.wrongful_refusals,
--- a/crates/standin/src/target/target_service.rs
+++ b/crates/standin/src/target/target_service.rs
@@ -67,7 +67,7 @@
 /// What the answer says about its request.
 struct RequestEcho {
     id: Option<Box<str>>,
-    tenant: Option<Box<str>>,
+    customer: Option<Box<str>>,
     method: Method,
     path: Box<str>,
     pause: Duration,
@@ -239,7 +239,7 @@
             None => {
                 slot.complete();
                 json_answer(&json!({
-                    "target": self.name, "request_id": echo.id, "tenant": echo.tenant,
+                    "target": self.name, "request_id": echo.id, "customer": echo.customer,
                     "path": echo.path, "body_bytes": body_bytes, "body_sha256": digest,
                 }))
             }
@@ -261,7 +261,7 @@
         };
         Self {
             id: ID_HEADERS.into_iter().find_map(text),
-            tenant: text("buckthornturn-tenant"),
+            customer: text("buckthornturn-customer"),
             method: request.method().clone(),
             path: request.uri().path().into(),
             pause: Duration::from_millis(query_number(request, "pause_ms").unwrap_or(0)),
--- a/crates/standin/tests/promises.rs
+++ b/crates/standin/tests/promises.rs
@@ -35,14 +35,14 @@
 promise_case!(
     withdrawn_key_stops_on_open_connections,
     5.0,
-    r#"{"at_s": 1, "do": "withdraw_key", "tenant": 1}"#,
+    r#"{"at_s": 1, "do": "withdraw_key", "customer": 1}"#,
     |report| {
         let last = report.measures.withdrawn_key_last_answer_s.unwrap();
         assert!(last <= REACTION_LIMIT_S, "{last} s");
         assert!(
-            report.load.tenants[1].unanswered.contains_key("key"),
+            report.load.customers[1].unanswered.contains_key("key"),
             "{:?}",
-            report.load.tenants[1]
+            report.load.customers[1]
         );
     }
 );
--- a/crates/standin/tests/requests.rs
+++ b/crates/standin/tests/requests.rs
@@ -10,7 +10,7 @@
 use standin::experiment::ExperimentPlan;
 use standin::experiment::ExperimentReport;
 use standin::experiment::run_experiment;
-use standin::load::TenantReport;
+use standin::load::CustomerReport;
 use standin::log_output::redirect_log;
 
 const SEED: u64 = 6;
@@ -76,8 +76,8 @@
 
 fn print_ends(report: &ExperimentReport) {
     println!("{} requests, {} answered", report.load.requests, report.load.answered);
-    for tenant in &report.load.tenants {
-        println!("{}: {:?}", tenant.tenant, tenant.unanswered);
+    for customer in &report.load.customers {
+        println!("{}: {:?}", customer.customer, customer.unanswered);
     }
 }
 
@@ -96,9 +96,9 @@
     assert_promises(&report);
     assert!(report.faults.iter().all(|fault| fault.error.is_none()), "{:?}", report.faults);
     assert_eq!(report.load.cut_answers, 0);
-    let cut = |tenant: &TenantReport| {
-        let ends = ["no-answer", "timed-out"].map(|end| tenant.unanswered.get(end).copied());
+    let cut = |customer: &CustomerReport| {
+        let ends = ["no-answer", "timed-out"].map(|end| customer.unanswered.get(end).copied());
         ends.into_iter().flatten().sum::<u64>()
     };
-    assert_eq!(report.load.tenants.iter().map(cut).sum::<u64>(), 0);
+    assert_eq!(report.load.customers.iter().map(cut).sum::<u64>(), 0);
 }
--- a/crates/standin/tests/state.rs
+++ b/crates/standin/tests/state.rs
@@ -37,7 +37,7 @@
 fleet_case! {
     change_is_in_force_everywhere_within_the_bound: 10, |fleet| {
         for number in 0..10 {
-            let revision = fleet.put_tenant(number % 10, format!("tenant-{number}")).await.unwrap();
+            let revision = fleet.put_customer(number % 10, format!("customer-{number}")).await.unwrap();
             fleet.wait_revision(revision, IN_FORCE).await;
         }
     }
@@ -45,29 +45,29 @@
     domain_cut_off_from_the_store_alone_still_hears: 10, |fleet| {
         let cut = fleet.names_in("domain-1");
         fleet.store.set_faults(FaultPlan { cut, ..FaultPlan::default() });
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
     }
 
     operators_race_and_nothing_is_lost: 6, |fleet| {
         let appends = (0..60).map(|number| {
-            fleet.put_tenant(number % 6, format!("tenant-{number}"))
+            fleet.put_customer(number % 6, format!("customer-{number}"))
         });
         let results = futures::future::join_all(appends).await;
         assert!(results.iter().all(Result::is_ok), "{results:?}");
         let latest = results.into_iter().map(Result::unwrap).max().unwrap();
         fleet.wait_revision(latest, IN_FORCE).await;
         for host in fleet.running() {
-            assert_eq!(fleet.tenants(host), 60);
+            assert_eq!(fleet.customers(host), 60);
         }
         assert!(latest < 60, "changes that wait together share a record: {latest}");
     }
 
     only_one_of_those_that_expect_the_same_revision_is_accepted: 6, |fleet| {
-        let revision = fleet.put_tenant(0, "first").await.unwrap();
+        let revision = fleet.put_customer(0, "first").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         let appends = (0..6).map(|host| {
-            fleet.put_tenant_at(host, format!("tenant-{host}"), Some(revision))
+            fleet.put_customer_at(host, format!("customer-{host}"), Some(revision))
         });
         let results = futures::future::join_all(appends).await;
         assert_eq!(results.iter().filter(|result| result.is_ok()).count(), 1, "{results:?}");
@@ -81,7 +81,7 @@
         fleet.store.set_faults(FaultPlan { lose_answers, ..FaultPlan::default() });
         let mut latest = 0;
         for number in 0..10 {
-            let revision = fleet.put_tenant(0, format!("tenant-{number}")).await.unwrap();
+            let revision = fleet.put_customer(0, format!("customer-{number}")).await.unwrap();
             assert_eq!(revision, latest + 1);
             latest = revision;
         }
@@ -89,10 +89,10 @@
     }
 
     store_down_refuses_changes_and_keeps_what_is_in_force: 4, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         fleet.store.set_faults(down());
-        let error = fleet.put_tenant(1, "other").await.unwrap_err();
+        let error = fleet.put_customer(1, "other").await.unwrap_err();
         assert!(error.to_string().starts_with("not accepted"), "{error}");
         tokio::time::sleep(Duration::from_secs(2)).await;
         fleet.wait_revision(revision, Duration::ZERO).await;
@@ -102,7 +102,7 @@
     }
 
     new_host_takes_its_state_from_peers_while_the_store_is_out: 4, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         fleet.store.set_faults(silent());
         fleet.kill(2);
@@ -111,7 +111,7 @@
     }
 
     new_host_with_neither_store_nor_peers_knows_nothing: 2, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         fleet.store.set_faults(down());
         fleet.kill(0);
@@ -125,20 +125,20 @@
     }
 
     all_hosts_replaced_one_after_another_keep_the_configuration: 6, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         for number in 0..6 {
             fleet.kill(number);
             fleet.restart(number).await;
             fleet.wait_revision(revision, RECOVERY).await;
         }
-        let later = fleet.put_tenant(3, "other").await.unwrap();
+        let later = fleet.put_customer(3, "other").await.unwrap();
         assert_eq!(later, revision + 1);
         fleet.wait_revision(later, IN_FORCE).await;
     }
 
     all_hosts_at_once_come_back_from_the_store: 6, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         for number in 0..6 {
             fleet.kill(number);
@@ -152,7 +152,7 @@
     log_is_trimmed_behind_a_snapshot_and_a_new_host_reads_it: 3, |fleet| {
         let mut latest = 0;
         for number in 0..460 {
-            latest = fleet.put_tenant(0, format!("tenant-{number}")).await.unwrap();
+            latest = fleet.put_customer(0, format!("customer-{number}")).await.unwrap();
         }
         fleet.wait_revision(latest, IN_FORCE).await;
         fleet.wait_object("config/log/manifest", true, RECOVERY).await;
@@ -160,7 +160,7 @@
         fleet.kill(2);
         fleet.restart(2).await;
         fleet.wait_revision(latest, RECOVERY).await;
-        assert_eq!(fleet.tenants(2), 460);
+        assert_eq!(fleet.customers(2), 460);
         fleet.put_object("config/log/00000000000000000001", &json!({
             "schema": 1, "revision": 1, "change_id": "stale", "changes": [],
         })).await;
@@ -171,25 +171,25 @@
             fleet.restart(number).await;
         }
         fleet.wait_revision(latest, RECOVERY).await;
-        assert_eq!(fleet.tenants(0), 460);
+        assert_eq!(fleet.customers(0), 460);
     }
 
     withdrawal_names_where_it_is_in_force_and_where_not: 6, |fleet| {
         fleet.wait_member(0, 1, "Live", RECOVERY).await;
         fleet.wait_member(0, 2, "Live", RECOVERY).await;
-        fleet.put_tenant(0, "tenant").await.unwrap();
-        let all = fleet.withdraw_new_key(0, "tenant").await;
+        fleet.put_customer(0, "customer").await.unwrap();
+        let all = fleet.withdraw_new_key(0, "customer").await;
         assert_eq!(all["in_force"], json!(["domain-0", "domain-1", "domain-2"]), "{all}");
         assert_eq!(all["not_reached"], json!([]));
         fleet.list_absent_host("domain-1");
         fleet.wait_absent_host(0, RECOVERY).await;
-        let some = fleet.withdraw_new_key(0, "tenant").await;
+        let some = fleet.withdraw_new_key(0, "customer").await;
         assert_eq!(some["in_force"], json!(["domain-0", "domain-2"]), "{some}");
         assert_eq!(some["not_reached"], json!(["domain-1"]));
     }
 
     record_of_a_newer_schema_is_refused_and_the_state_stays: 2, |fleet| {
-        let revision = fleet.put_tenant(0, "tenant").await.unwrap();
+        let revision = fleet.put_customer(0, "customer").await.unwrap();
         fleet.wait_revision(revision, IN_FORCE).await;
         let key = format!("config/log/{:020}", revision + 1);
         fleet.put_object(&key, &json!({
@@ -197,7 +197,7 @@
         })).await;
         tokio::time::sleep(Duration::from_secs(2)).await;
         fleet.wait_revision(revision, Duration::ZERO).await;
-        assert_eq!(fleet.tenants(1), 1);
+        assert_eq!(fleet.customers(1), 1);
     }
 
     floor_plan_reaches_every_host_and_never_goes_back: 6, |fleet| {
@@ -256,14 +256,14 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn domain_returns_after_a_long_cut_with_changes_on_both_sides() {
     let fleet = StateFleet::start_on_network(6).await;
-    let before = fleet.put_tenant(0, "before").await.unwrap();
+    let before = fleet.put_customer(0, "before").await.unwrap();
     fleet.wait_revision(before, IN_FORCE).await;
     fleet.links().cut_domain("domain-1");
-    let far = fleet.put_tenant(1, "far");
+    let far = fleet.put_customer(1, "far");
     let near = async {
         let mut latest = 0;
         for number in 0..460 {
-            latest = fleet.put_tenant(0, format!("near-{number}")).await.unwrap();
+            latest = fleet.put_customer(0, format!("near-{number}")).await.unwrap();
         }
         latest
     };
@@ -277,7 +277,7 @@
     assert_eq!(later, latest + 1);
     fleet.wait_revision(later, IN_FORCE).await;
     for host in fleet.running() {
-        assert_eq!(fleet.tenants(host), 462);
+        assert_eq!(fleet.customers(host), 462);
     }
 }
 
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -142,26 +142,26 @@
             .collect()
     }
 
-    /// Puts a tenant through a host; returns the revision.
-    pub async fn put_tenant(
+    /// Puts a customer through a host; returns the revision.
+    pub async fn put_customer(
         &self,
         host: usize,
-        tenant: impl AsRef<str>,
+        customer: impl AsRef<str>,
     ) -> Result<u64, AppendError> {
-        self.put_tenant_at(host, tenant, None).await
+        self.put_customer_at(host, customer, None).await
     }
 
-    /// Puts a tenant if a revision is the latest.
-    pub async fn put_tenant_at(
+    /// Puts a customer if a revision is the latest.
+    pub async fn put_customer_at(
         &self,
         host: usize,
-        tenant: impl AsRef<str>,
+        customer: impl AsRef<str>,
         expected: Option<u64>,
     ) -> Result<u64, AppendError> {
         let change: ConfigChange = serde_json::from_value(json!({
             "operation": "put",
             "object": {
-                "kind": "tenant", "name": tenant.as_ref(), "rate_per_second": 1.0, "burst": 1.0,
+                "kind": "customer", "name": customer.as_ref(), "rate_per_second": 1.0, "burst": 1.0,
                 "services": [],
             },
         }))
@@ -170,11 +170,11 @@
         Ok(appender.append(vec![change], expected).await?.revision)
     }
 
-    /// Puts a tenant again and again until it is accepted.
-    pub async fn put_until_accepted(&self, host: usize, tenant: &str, limit: Duration) -> u64 {
+    /// Puts a customer again and again until it is accepted.
+    pub async fn put_until_accepted(&self, host: usize, customer: &str, limit: Duration) -> u64 {
         let end = Instant::now() + limit;
         loop {
-            match self.put_tenant(host, tenant).await {
+            match self.put_customer(host, customer).await {
                 Ok(revision) => return revision,
                 Err(error) => assert!(Instant::now() < end, "{error}"),
             }
@@ -187,9 +187,9 @@
         self.host(host).state().configuration.load().revision
     }
 
-    /// Number of tenants known on a host.
-    pub fn tenants(&self, host: usize) -> usize {
-        self.host(host).state().configuration.load().tenants.len()
+    /// Number of customers known on a host.
+    pub fn customers(&self, host: usize) -> usize {
+        self.host(host).state().configuration.load().customers.len()
     }
 
     /// Waits until exactly this revision is in force on all hosts that run.
@@ -257,10 +257,10 @@
         store.put(key, Bytes::from(value.to_string()), Some(version)).await.unwrap();
     }
 
-    /// Grants a tenant a key through a host and withdraws it; returns the answer to the withdrawal.
-    pub async fn withdraw_new_key(&self, host: usize, tenant: &str) -> Value {
+    /// Grants a customer a key through a host and withdraws it; returns the answer to the withdrawal.
+    pub async fn withdraw_new_key(&self, host: usize, customer: &str) -> Value {
         let client = JsonClient::with_token(self.host(host).operators(), "token");
-        let body = json!({ "tenant": tenant });
+        let body = json!({ "customer": customer });
         let granted = client.call(Method::POST, "/v1/keys", body).await.unwrap();
         let path = format!("/v1/keys/{}", granted["id"].as_str().unwrap());
         client.call(Method::DELETE, &path, Value::Null).await.unwrap()
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -75,12 +75,12 @@
 }
 
 target_case!(echoes_request, json!({ "work_ms": 0 }), |bench| {
-    let headers = [("x-request-id", "r-1"), ("buckthornturn-tenant", "parish")];
+    let headers = [("x-request-id", "r-1"), ("buckthornturn-customer", "parish")];
     let response = bench.send("/a?b=c", &headers).await;
     let body = response.into_body().collect().await.unwrap().to_bytes();
     let echo: Value = serde_json::from_slice(&body).unwrap();
     assert_eq!(echo["request_id"], "r-1");
-    assert_eq!(echo["tenant"], "parish");
+    assert_eq!(echo["customer"], "parish");
     assert_eq!(echo["path"], "/a");
     assert_eq!(echo["body_bytes"], 4);
     assert_eq!(echo["body_sha256"].as_str().unwrap().len(), 64);
--- a/spec/rates.pml
+++ b/spec/rates.pml
@@ -1,5 +1,5 @@
 /*
- * Parts of a tenant's rate that are lent for a term.
+ * Parts of a customer's rate that are lent for a term.
  *
  * The lender does without the part from the grant until the term and the allowance for drift have passed. The
  * borrower makes tokens of it from the receipt until the term has passed since it sent its request, by its own
