--- a/crates/buckthornturn/src/callers/answer_stream.rs
+++ b/crates/buckthornturn/src/callers/answer_stream.rs
@@ -66,7 +66,7 @@
         }
         match lease.reuse {
             Some((pool, key)) if lease.upload.finished_at().is_some() => {
-                pool.put(key, lease.connection);
+                pool.put(key, lease.connection, None);
             }
             _ => {}
         }
--- a/crates/buckthornturn/src/callers/caller_service.rs
+++ b/crates/buckthornturn/src/callers/caller_service.rs
@@ -337,7 +337,7 @@
 }
 
 /// A body that is there as a whole.
-pub(super) fn full_body(bytes: Bytes) -> AnswerBody {
+pub(crate) fn full_body(bytes: Bytes) -> AnswerBody {
     let absurd = |never: Infallible| match never {};
     Full::new(bytes).map_err(absurd).boxed_unsync()
 }
--- a/crates/buckthornturn/src/callers/refusal.rs
+++ b/crates/buckthornturn/src/callers/refusal.rs
@@ -29,22 +29,22 @@
 
 impl Refusal {
     /// A refusal of a request of which no byte has reached a target.
-    pub(super) fn not_run(status: StatusCode, reason: &'static str) -> Self {
+    pub(crate) fn not_run(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, not_run: true, retry_after: None }
     }
 
     /// A refusal of a request that may have run.
-    pub(super) fn unknown(status: StatusCode, reason: &'static str) -> Self {
+    pub(crate) fn unknown(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, not_run: false, retry_after: None }
     }
 
     /// The same refusal with the time to come back after.
-    pub(super) fn retry_after(self, wait: Duration) -> Self {
+    pub(crate) fn retry_after(self, wait: Duration) -> Self {
         Self { retry_after: Some(wait), ..self }
     }
 
     /// The same refusal of a request that may have run through another host.
-    pub(super) fn with_unknown_outcome(self) -> Self {
+    pub(crate) fn with_unknown_outcome(self) -> Self {
         Self { not_run: false, ..self }
     }
 
--- a/crates/buckthornturn/src/callers/request_plan.rs
+++ b/crates/buckthornturn/src/callers/request_plan.rs
@@ -189,7 +189,7 @@
 }
 
 /// The one host that a request names, without port and in lower case; `None` if it names none or several.
-fn named_host(request: &Request<Incoming>) -> Option<Box<str>> {
+pub(crate) fn named_host<B>(request: &Request<B>) -> Option<Box<str>> {
     let mut values = request.headers().get_all(header::HOST).iter();
     let first = match values.next() {
         Some(value) => Some(host_name(value.to_str().ok()?)?),
@@ -221,7 +221,12 @@
     is_valid.then(|| name.to_ascii_lowercase().into())
 }
 
-fn content_length(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
+/// Length of a body as its headers say.
+///
+/// # Errors
+///
+/// Refuses headers that contradict each other.
+pub(crate) fn content_length(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
     let mut values = headers.get_all(header::CONTENT_LENGTH).iter();
     let has_coding = headers.contains_key(header::TRANSFER_ENCODING);
     match (values.next(), values.next()) {
--- a/crates/buckthornturn/src/callers/target_pool.rs
+++ b/crates/buckthornturn/src/callers/target_pool.rs
@@ -53,6 +53,7 @@
 struct IdleConnection {
     connection: TargetConnection,
     since: Instant,
+    until: Instant,
 }
 
 impl TargetPool {
@@ -71,17 +72,17 @@
         let idle = shelf.idle.get_mut(key)?;
         while idle.front().is_some_and(|entry| now.duration_since(entry.since) >= QUARANTINE) {
             let entry = idle.pop_front()?;
-            let is_young = now.duration_since(entry.since) <= MAX_IDLE_AGE;
-            if is_young && entry.connection.is_clean() {
+            if now <= entry.until && entry.connection.is_clean() {
                 return Some(entry.connection);
             }
         }
         None
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn put(&self, key: PoolKey, connection: TargetConnection) {
+    /// Keeps a connection whose answer was read to its end, at most for the time given.
+    pub fn put(&self, key: PoolKey, connection: TargetConnection, keep_for: Option<Duration>) {
         let now = Instant::now();
+        let until = now + keep_for.unwrap_or(MAX_IDLE_AGE).min(MAX_IDLE_AGE);
         let mut shelf = self.lock();
         shelf.sweep(now);
         if shelf.is_distrusted(key.address, now) {
@@ -91,7 +92,7 @@
         if idle.len() >= MAX_IDLE {
             idle.pop_front();
         }
-        idle.push_back(IdleConnection { connection, since: now });
+        idle.push_back(IdleConnection { connection, since: now, until });
     }
 
     /// Opens a connection.
@@ -134,9 +135,7 @@
         self.sweep_at = Some(now + SWEEP_INTERVAL);
         self.distrusted.retain(|_, until| now < *until);
         self.idle.retain(|_, idle| {
-            idle.retain(|entry| {
-                now.duration_since(entry.since) <= MAX_IDLE_AGE && !entry.connection.is_closed()
-            });
+            idle.retain(|entry| now <= entry.until && !entry.connection.is_closed());
             !idle.is_empty()
         });
     }
--- a/crates/buckthornturn/src/document/mod.rs
+++ b/crates/buckthornturn/src/document/mod.rs
@@ -2,6 +2,7 @@
 
 mod config_document;
 mod document_checker;
+mod entry_document;
 mod field_rule;
 mod file_problem;
 mod object_rules;
@@ -11,6 +12,7 @@
 
 pub use config_document::ConfigDocument;
 pub use config_document::ObjectRemoval;
+pub use entry_document::EntryDocument;
 pub use file_problem::FileProblem;
 pub use settings_document::SettingsDocument;
 
--- a/crates/buckthornturn/src/document/tests.rs
+++ b/crates/buckthornturn/src/document/tests.rs
@@ -70,7 +70,7 @@
     missing_profile: "\"profile\": \"p\"}" => "\"profile\": \"q\"}", ["10:68: objects[4].profile: there is no profile `q`"];
     missing_domain: "\"failure_domain\": \"a\"" => "\"failure_domain\": \"b\"",
         ["7:71: objects[2].failure_domain: there is no failure domain `b`"];
-    burst_below_one: "\"burst\": 5" => "\"burst\": 0.5", ["11:69: objects[5].burst: a burst of 0.5 lets no request through"];
+    burst_below_one: "\"burst\": 5" => "\"burst\": 0.5", ["11:71: objects[5].burst: a burst of 0.5 lets no request through"];
     given_twice: "{\"kind\": \"profile\", \"name\": \"p\"}" => "{\"kind\": \"profile\", \"name\": \"p\"}, {\"kind\": \"profile\", \"name\": \"p\"}",
         ["9:39: objects[4]: profile `p` is given twice"];
     wrong_type: "\"slots\": 4" => "\"slots\": \"4\"", ["8:44: objects[2].slots: expected a whole number from 1 to 1000000"];
--- /dev/null
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -0,0 +1,239 @@
+//! Sends a request to one target and judges the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coordination::fleet::AttemptEnd;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request;
+use http::response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::callers::AnswerBody;
+use crate::callers::BodyFault;
+use crate::callers::PoolKey;
+use crate::callers::TargetConnection;
+use crate::callers::TargetPool;
+use crate::callers::UploadSlot;
+use crate::callers::full_body;
+use crate::callers::header_filter::remove_hop_by_hop;
+use crate::entry::AttemptGuard;
+use crate::entry::RequestFacts;
+use crate::entry::held_body::HeldBody;
+use crate::entry::held_body::hold_body;
+use crate::interface::AnswerFacts;
+use crate::interface::CallerDialect;
+use crate::interface::TargetNotice;
+
+/// Longest wait for a connection to a target: several round trips between regions, well below a latency objective.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time before the end of a target's own idle timeout at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// How an attempt ended.
+pub enum AttemptResult {
+    /// The target answered, and the caller gets that.
+    Answered(Response<AnswerBody>),
+    /// The target did not run the request.
+    NotRun(&'static str),
+    /// No byte of the request has left.
+    NotSent(&'static str),
+    /// The request may have run, and no answer came that the caller can get.
+    Lost(StatusCode, &'static str),
+}
+
+/// A request ready to be sent.
+pub struct EntryJob {
+    /// What is known of it.
+    pub facts: RequestFacts,
+    /// Head as the caller sent it, without headers of one connection.
+    pub head: request::Parts,
+    /// Body.
+    pub upload: Arc<UploadSlot>,
+}
+
+/// Sends requests to targets.
+pub struct AttemptRunner {
+    pool: TargetPool,
+    dialect: Arc<dyn CallerDialect>,
+}
+
+enum SendResult {
+    Answered(Response<Incoming>, TargetConnection),
+    Unsent,
+    Lost(&'static str),
+}
+
+impl AttemptRunner {
+    /// A runner with connections of a pool.
+    pub fn new(pool: TargetPool, dialect: Arc<dyn CallerDialect>) -> Self {
+        Self { pool, dialect }
+    }
+
+    /// Sends a request to the target that was chosen.
+    pub async fn run(&self, job: &EntryJob, mut guard: AttemptGuard) -> AttemptResult {
+        let key = PoolKey { address: guard.choice().address, customer: None };
+        let idle = match job.facts.route.is_repeatable {
+            true => self.pool.take(&key),
+            false => None,
+        };
+        if let Some(connection) = idle {
+            match self.send(job, &guard, connection).await {
+                SendResult::Unsent => {}
+                result => return self.judge(job, guard, key, result).await,
+            }
+        }
+        let timeout = CONNECT_TIMEOUT.min(job.facts.time_left());
+        let connection = match self.pool.open(key.address, timeout).await {
+            Ok(connection) => connection,
+            Err(_) => {
+                guard.finish(AttemptEnd::Unreachable, None);
+                return AttemptResult::NotSent("target-unreachable");
+            }
+        };
+        let result = self.send(job, &guard, connection).await;
+        self.judge(job, guard, key, result).await
+    }
+
+    async fn send(
+        &self,
+        job: &EntryJob,
+        guard: &AttemptGuard,
+        mut connection: TargetConnection,
+    ) -> SendResult {
+        let mut head = job.head.clone();
+        let left = job.facts.patience.saturating_sub(job.facts.arrived.elapsed());
+        let notice = TargetNotice {
+            target: &guard.choice().target,
+            customer: job.facts.customer.as_deref(),
+            time_left: left,
+        };
+        self.dialect.notify_target(&mut head.headers, &notice);
+        let request = Request::from_parts(head, job.upload.next_body());
+        match connection.send(request).await {
+            Ok(response) => SendResult::Answered(response, connection),
+            Err(error) if error.message().is_some() => SendResult::Unsent,
+            Err(_) => SendResult::Lost(lost_reason(&job.upload)),
+        }
+    }
+
+    async fn judge(
+        &self,
+        job: &EntryJob,
+        mut guard: AttemptGuard,
+        key: PoolKey,
+        result: SendResult,
+    ) -> AttemptResult {
+        let (response, connection) = match result {
+            SendResult::Answered(response, connection) => (response, connection),
+            SendResult::Unsent => {
+                guard.finish(AttemptEnd::Unreachable, None);
+                return AttemptResult::NotSent("target-closed");
+            }
+            SendResult::Lost(reason) => {
+                guard.finish(AttemptEnd::Failed, None);
+                return AttemptResult::Lost(StatusCode::BAD_GATEWAY, reason);
+            }
+        };
+        let (parts, body) = response.into_parts();
+        let facts = self.dialect.answer_facts(&parts);
+        let is_own = facts.attempt.as_deref().is_none_or(|attempt| *attempt == *job.facts.attempt);
+        if !is_own {
+            self.pool.distrust(key.address);
+            guard.finish(AttemptEnd::Failed, None);
+            return AttemptResult::Lost(StatusCode::BAD_GATEWAY, "answer-crossed");
+        }
+        if facts.is_other_target || facts.is_not_run {
+            return self.not_run(guard, key, connection, &facts, body).await;
+        }
+        if let Some(reason) = unusable(&parts, &facts) {
+            guard.finish(AttemptEnd::Failed, facts.load);
+            return AttemptResult::Lost(StatusCode::BAD_GATEWAY, reason);
+        }
+        self.pass_on(job, guard, key, (parts, body), connection, &facts).await
+    }
+
+    async fn not_run(
+        &self,
+        mut guard: AttemptGuard,
+        key: PoolKey,
+        connection: TargetConnection,
+        facts: &AnswerFacts,
+        body: Incoming,
+    ) -> AttemptResult {
+        let (end, reason) = match facts.is_other_target {
+            true => (AttemptEnd::Replaced, "target-replaced"),
+            false => (AttemptEnd::Shed, "target-shed"),
+        };
+        guard.finish(end, facts.load);
+        if let Ok(HeldBody::Whole(_)) = hold_body(body).await {
+            self.pool.put(key, connection, keep_for(facts));
+        }
+        AttemptResult::NotRun(reason)
+    }
+
+    async fn pass_on(
+        &self,
+        job: &EntryJob,
+        mut guard: AttemptGuard,
+        key: PoolKey,
+        (mut parts, body): (response::Parts, Incoming),
+        connection: TargetConnection,
+        facts: &AnswerFacts,
+    ) -> AttemptResult {
+        remove_hop_by_hop(&mut parts.headers);
+        match hold_body(body).await {
+            Ok(HeldBody::Whole(bytes)) => {
+                guard.finish(end_of(&parts, guard.elapsed()), facts.load);
+                if job.upload.finished_at().is_some() {
+                    self.pool.put(key, connection, keep_for(facts));
+                }
+                AttemptResult::Answered(Response::from_parts(parts, full_body(bytes)))
+            }
+            Ok(HeldBody::Longer(stream)) => {
+                guard.finish(end_of(&parts, guard.elapsed()), facts.load);
+                let body = stream.with_connection(connection).boxed_unsync();
+                AttemptResult::Answered(Response::from_parts(parts, body))
+            }
+            Err(_) => {
+                guard.finish(AttemptEnd::Failed, facts.load);
+                AttemptResult::Lost(StatusCode::BAD_GATEWAY, "answer-cut")
+            }
+        }
+    }
+}
+
+fn end_of(parts: &response::Parts, time: Duration) -> AttemptEnd {
+    match parts.status.is_server_error() {
+        true => AttemptEnd::Failed,
+        false => AttemptEnd::Answered { time },
+    }
+}
+
+fn keep_for(facts: &AnswerFacts) -> Option<Duration> {
+    facts.keeps_idle.map(|time| time.saturating_sub(IDLE_MARGIN))
+}
+
+/// Why an answer cannot be the target's own whole answer.
+fn unusable(parts: &response::Parts, facts: &AnswerFacts) -> Option<&'static str> {
+    match parts.status {
+        StatusCode::SWITCHING_PROTOCOLS => Some("answer-upgrades"),
+        _ if parts.headers.contains_key(header::CONTENT_ENCODING) => Some("answer-encoded"),
+        status if status.is_success() && !facts.is_signed => Some("answer-unsigned"),
+        status if status.is_success() && facts.attempt.is_none() => Some("answer-unnamed"),
+        _ => None,
+    }
+}
+
+fn lost_reason(upload: &UploadSlot) -> &'static str {
+    match upload.fault() {
+        Some(BodyFault::TooLarge) => "body-too-large",
+        Some(BodyFault::Stalled) => "body-stalled",
+        Some(_) => "body-cut",
+        None => "target-failed",
+    }
+}
--- /dev/null
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -0,0 +1,218 @@
+//! One entry host on a platform: its listeners and the tasks behind them.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use snafu::ResultExt;
+use spdlog::info;
+use spdlog::warn;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+
+use crate::callers::ConnectionServer;
+use crate::callers::ServerPhase;
+use crate::callers::TargetPool;
+use crate::entry::EntryIdentity;
+use crate::entry::EntryState;
+use crate::entry::FrontService;
+use crate::entry::GossipLoop;
+use crate::entry::GuardedDialer;
+use crate::entry::PeerReader;
+use crate::entry::StateFollower;
+use crate::entry::answer_peer;
+use crate::entry::hosts_for;
+use crate::entry::look_up_life;
+use crate::entry::peer_reader::with_status;
+use crate::host_process::HostError;
+use crate::host_process::ListenSnafu;
+use crate::host_process::listen;
+use crate::interface::CallerDialect;
+use crate::interface::StatePart;
+use crate::interface::StateSource;
+use crate::listener::serve;
+use crate::settings::CallerBounds;
+use crate::settings::EntrySettings;
+
+/// Part of the time for a shutdown in which new connections are still taken: callers hear of the end from look-ups, whose
+/// answers hold for two seconds.
+const OPEN_PART: f64 = 0.55;
+/// Time before the end by force at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// Time that a caller's connection may stay idle: longer than any configuration lets callers keep one.
+const IDLE_TIME_MS: u64 = 60_000;
+/// Most connections of callers at once; within the descriptors of the smallest host with those to targets.
+const MAX_CONNECTIONS: usize = 3_000;
+
+/// What an entry host is given by the platform that it runs on.
+pub struct EntryParts {
+    /// Where it learns what is in force.
+    pub source: Arc<dyn StateSource>,
+    /// How callers and targets spell what it knows.
+    pub dialect: Arc<dyn CallerDialect>,
+}
+
+/// A running entry host. Dropping it ends all of its tasks.
+pub struct EntryProcess {
+    state: Arc<EntryState>,
+    phase: watch::Sender<ServerPhase>,
+    callers: JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl EntryProcess {
+    /// Opens the listeners and starts serving.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener cannot be opened.
+    pub async fn start(settings: EntrySettings, parts: EntryParts) -> Result<Self, HostError> {
+        let (callers_listener, callers) = listen("callers", settings.listeners.callers).await?;
+        let (mesh_listener, mesh) = listen("mesh", settings.listeners.mesh).await?;
+        let socket = UdpSocket::bind(mesh)
+            .await
+            .context(ListenSnafu { role: "heartbeats", address: mesh })?;
+        let (look_ups, _) = listen("look-ups", settings.listeners.look_ups).await?;
+        let (readiness, _) = listen("readiness", settings.listeners.readiness).await?;
+        let own = EntryIdentity {
+            host: settings.host.clone(),
+            incarnation: rand::random(),
+            failure_domain: settings.failure_domain.clone(),
+            region: settings.region.clone(),
+            callers,
+            mesh,
+        };
+        let seeds = settings.seeds.clone();
+        let state = EntryState::new(own, settings);
+        let dialer = Arc::new(GuardedDialer);
+        let mut tasks = JoinSet::new();
+        for part in StatePart::ALL {
+            let peers = PeerReader::new(dialer.clone());
+            let source = Arc::clone(&parts.source);
+            tasks.spawn(StateFollower::new(Arc::clone(&state), source, peers, part).run());
+        }
+        tasks.spawn(GossipLoop::new(Arc::clone(&state), socket, seeds).run());
+        tasks.spawn(serve_mesh(mesh_listener, Arc::clone(&state)));
+        tasks.spawn(serve_look_ups(look_ups, Arc::clone(&state), Arc::clone(&parts.dialect)));
+        tasks.spawn(serve_readiness(readiness, Arc::clone(&state), Arc::clone(&parts.dialect)));
+        let phase = watch::Sender::new(ServerPhase::Serving);
+        let front = FrontService::new(Arc::clone(&state), parts.dialect, TargetPool::new(dialer));
+        let callers = start_callers(callers_listener, front, phase.subscribe());
+        info!("host started", kv: {
+            host: = state.own().host,
+            incarnation = state.own().incarnation,
+            callers: = state.own().callers,
+            mesh:
+        });
+        Ok(Self { state, phase, callers, tasks })
+    }
+
+    /// What the host knows.
+    pub fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+
+    /// Leaves look-ups, goes on serving while callers still come, and ends once all that runs is answered, or when the
+    /// time is up. Returns whether everything was answered.
+    pub async fn shutdown(self) -> bool {
+        let grace = self.state.settings().bounds.shutdown();
+        let end = Instant::now() + grace.saturating_sub(END_MARGIN);
+        info!("host leaves", kv: { host: = self.state.own().host, grace_ms = grace.as_millis() as u64 });
+        self.state.leave();
+        self.phase.send_replace(ServerPhase::Leaving);
+        tokio::time::sleep(grace.mul_f64(OPEN_PART)).await;
+        self.phase.send_replace(ServerPhase::Closing);
+        let is_whole = tokio::time::timeout_at(end.into(), self.callers).await.is_ok();
+        match is_whole {
+            true => info!("host ended", kv: { host: = self.state.own().host }),
+            false => warn!("requests cut at the end", kv: { host: = self.state.own().host }),
+        }
+        let mut tasks = self.tasks;
+        tasks.shutdown().await;
+        is_whole
+    }
+}
+
+fn start_callers(
+    listener: TcpListener,
+    front: FrontService,
+    phase: watch::Receiver<ServerPhase>,
+) -> JoinHandle<()> {
+    let bounds = CallerBounds {
+        head_timeout_ms: IDLE_TIME_MS,
+        max_connections: MAX_CONNECTIONS,
+        ..CallerBounds::default()
+    };
+    let front = Arc::new(front);
+    let server = ConnectionServer::new(listener, bounds, phase);
+    tokio::spawn(server.run(move |request, peer| {
+        let front = Arc::clone(&front);
+        async move { front.serve(request, peer).await }
+    }))
+}
+
+fn serve_mesh(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
+    serve(listener, None, move |request: Request<Incoming>, _peer| {
+        let answer = answer_peer(&state, request.uri().path());
+        async move { answer }
+    })
+}
+
+fn serve_readiness(
+    listener: TcpListener,
+    state: Arc<EntryState>,
+    dialect: Arc<dyn CallerDialect>,
+) -> impl Future<Output = ()> {
+    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+        let status = match dialect.is_readiness(request.uri().path()) {
+            true if state.is_ready() => StatusCode::OK,
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::NOT_FOUND,
+        };
+        async move { with_status(status, Bytes::new()) }
+    })
+}
+
+fn serve_look_ups(
+    listener: TcpListener,
+    state: Arc<EntryState>,
+    dialect: Arc<dyn CallerDialect>,
+) -> impl Future<Output = ()> {
+    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+        let answer = look_up(&state, &*dialect, &request);
+        async move { answer }
+    })
+}
+
+fn look_up(
+    state: &EntryState,
+    dialect: &dyn CallerDialect,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let Some(ask) = dialect.look_up(request.uri()) else {
+        return with_status(StatusCode::NOT_FOUND, Bytes::new());
+    };
+    let hosts = hosts_for(state, &ask);
+    if hosts.is_empty() {
+        warn!("no host to name", kv: { region: = ask.region, failure_domain: = ask.failure_domain });
+        return with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
+    let mut response =
+        with_status(StatusCode::OK, dialect.look_up_answer(&hosts, look_up_life(state)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -0,0 +1,402 @@
+//! What an entry host knows: configuration in force, targets, other hosts, and its parts of the limits.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwapOption;
+use coordination::fleet::BoardHost;
+use coordination::fleet::HostNews;
+use coordination::fleet::HostPhase;
+use coordination::fleet::HostRoster;
+use coordination::fleet::QuotaLedger;
+use coordination::fleet::RouteSplit;
+use coordination::fleet::TargetBoard;
+use coordination::fleet::TargetEntry;
+use coordination::ids::DomainId;
+use coordination::ids::HostId;
+use coordination::ids::Incarnation;
+use coordination::ids::RegionId;
+use coordination::ids::Revision;
+use coordination::ids::RouteId;
+use coordination::ids::ServiceId;
+use coordination::ids::TargetId;
+use coordination::retry_budget::RetryBudget;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+use spdlog::info;
+
+use crate::entry::EntryConfiguration;
+use crate::interface::StateBatch;
+use crate::interface::StateChange;
+use crate::interface::StatePart;
+use crate::settings::EntrySettings;
+
+/// Time for which a target whose entry vanished around an outage of the store may come back; the platform says that
+/// entries of living targets are back about two seconds after the store's return.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// Names and addresses of this host.
+#[derive(Clone, Debug)]
+pub struct EntryIdentity {
+    /// Name.
+    pub host: HostId,
+    /// Random number of this process start.
+    pub incarnation: Incarnation,
+    /// Failure domain.
+    pub failure_domain: DomainId,
+    /// Region.
+    pub region: RegionId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other hosts.
+    pub mesh: SocketAddr,
+}
+
+/// Where an entry host stands, and where callers reach it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostPlace<'a> {
+    /// Failure domain.
+    pub failure_domain: &'a str,
+    /// Region.
+    pub region: &'a str,
+    /// Address for callers.
+    pub callers: SocketAddr,
+}
+
+impl EntryIdentity {
+    /// Where this host stands.
+    pub fn place(&self) -> HostPlace<'_> {
+        HostPlace {
+            failure_domain: &self.failure_domain,
+            region: &self.region,
+            callers: self.callers,
+        }
+    }
+}
+
+/// One part of the state as hosts hand it to each other.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PartSnapshot {
+    /// Revision of the latest change in it.
+    pub latest: Revision,
+    /// Configuration, if that is the part.
+    #[serde(default)]
+    pub configuration: Option<EntryConfiguration>,
+    /// Targets, if those are the part.
+    #[serde(default)]
+    pub targets: Vec<TargetEntry>,
+    /// Closed failure domains, if those are the part.
+    #[serde(default)]
+    pub closed: IndexSet<DomainId>,
+}
+
+/// What an entry host knows and decides by, under one lock that is never held over a wait.
+pub struct EntryCore {
+    /// Targets.
+    pub board: TargetBoard,
+    /// Parts of the customers' limits.
+    pub quotas: QuotaLedger,
+    /// Other hosts.
+    pub roster: HostRoster,
+    retries: IndexMap<ServiceId, RetryBudget>,
+    splits: IndexMap<RouteId, RouteSplit>,
+    closed: IndexSet<DomainId>,
+    vanished: IndexMap<TargetId, Instant>,
+    applied: [Revision; StatePart::ALL.len()],
+    has_targets: bool,
+    beat: u64,
+    phase: HostPhase,
+}
+
+/// What an entry host knows.
+pub struct EntryState {
+    own: EntryIdentity,
+    settings: EntrySettings,
+    configuration: ArcSwapOption<EntryConfiguration>,
+    core: Mutex<EntryCore>,
+}
+
+impl EntryState {
+    /// The state of a host that knows nothing yet.
+    pub fn new(own: EntryIdentity, settings: EntrySettings) -> Arc<Self> {
+        let board_host =
+            BoardHost { host: own.host.clone(), failure_domain: own.failure_domain.clone() };
+        let core = EntryCore {
+            board: TargetBoard::new(board_host, own.region.clone()),
+            quotas: QuotaLedger::default(),
+            roster: HostRoster::default(),
+            retries: IndexMap::new(),
+            splits: IndexMap::new(),
+            closed: IndexSet::new(),
+            vanished: IndexMap::new(),
+            applied: [0; StatePart::ALL.len()],
+            has_targets: false,
+            beat: 0,
+            phase: HostPhase::Starting,
+        };
+        let configuration = ArcSwapOption::empty();
+        Arc::new(Self { own, settings, configuration, core: Mutex::new(core) })
+    }
+
+    /// Names and addresses of this host.
+    pub fn own(&self) -> &EntryIdentity {
+        &self.own
+    }
+
+    /// Settings.
+    pub fn settings(&self) -> &EntrySettings {
+        &self.settings
+    }
+
+    /// Configuration in force; `None` until one is known.
+    pub fn configuration(&self) -> Option<Arc<EntryConfiguration>> {
+        self.configuration.load_full()
+    }
+
+    /// What the host decides by. The lock must not be held over a wait.
+    pub fn lock(&self) -> MutexGuard<'_, EntryCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies changes. With `is_whole` they are all there is of the part, and what is not among them is gone. With
+    /// `is_outage` the store was away lately, and a target that vanished may come back.
+    pub fn apply(&self, part: StatePart, batch: StateBatch, is_whole: bool, is_outage: bool) {
+        let now = Instant::now();
+        let mut core = self.lock();
+        if is_whole && part == StatePart::Targets {
+            core.retain_targets(&batch.changes, is_outage, now);
+        }
+        if is_whole && part == StatePart::ClosedDomains {
+            core.closed.clear();
+        }
+        for change in batch.changes {
+            match change {
+                StateChange::Configuration(configuration) => {
+                    self.put_configuration(&mut core, configuration, batch.latest, now);
+                }
+                StateChange::Target(entry) => core.put_target(entry, now),
+                StateChange::TargetGone(target) => core.target_gone(target, is_outage, now),
+                StateChange::DomainClosed(domain) => drop(core.closed.insert(domain)),
+                StateChange::DomainOpened(domain) => drop(core.closed.shift_remove(&domain)),
+            }
+        }
+        if part == StatePart::ClosedDomains {
+            let closed = core.closed.clone();
+            core.board.set_closed(closed, now);
+        }
+        core.has_targets |= part == StatePart::Targets;
+        let applied = &mut core.applied[part as usize];
+        *applied = batch.latest.max(*applied);
+    }
+
+    /// One part as other hosts get it.
+    pub fn snapshot(&self, part: StatePart) -> PartSnapshot {
+        let core = self.lock();
+        let configuration = match part {
+            StatePart::Configuration => self.configuration().map(|known| (*known).clone()),
+            _ => None,
+        };
+        let targets = match part {
+            StatePart::Targets => core.board.entries().cloned().collect(),
+            _ => Vec::new(),
+        };
+        let closed = match part {
+            StatePart::ClosedDomains => core.closed.clone(),
+            _ => IndexSet::new(),
+        };
+        PartSnapshot { latest: core.applied[part as usize], configuration, targets, closed }
+    }
+
+    /// Applies what another host knows of a part, if it is later.
+    pub fn apply_snapshot(&self, part: StatePart, snapshot: PartSnapshot) -> bool {
+        if snapshot.latest <= self.lock().applied[part as usize] {
+            return false;
+        }
+        let changes = match part {
+            StatePart::Configuration => {
+                snapshot.configuration.into_iter().map(StateChange::Configuration).collect()
+            }
+            StatePart::Targets => snapshot.targets.into_iter().map(StateChange::Target).collect(),
+            StatePart::ClosedDomains => {
+                snapshot.closed.into_iter().map(StateChange::DomainClosed).collect()
+            }
+        };
+        let batch = StateBatch { revision: snapshot.latest, latest: snapshot.latest, changes };
+        self.apply(part, batch, true, false);
+        true
+    }
+
+    /// Revision of the latest change of a part that was applied.
+    pub fn applied(&self, part: StatePart) -> Revision {
+        self.lock().applied(part)
+    }
+
+    /// Whether new callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.lock().phase == HostPhase::Serving
+    }
+
+    /// The host leaves: it is no longer ready and look-ups do not name it.
+    pub fn leave(&self) {
+        self.lock().phase = HostPhase::Leaving;
+    }
+
+    /// What this host says about itself now; each call is another heartbeat.
+    pub fn news(&self) -> HostNews {
+        let now = Instant::now();
+        let mut core = self.lock();
+        core.beat += 1;
+        HostNews {
+            host: self.own.host.clone(),
+            incarnation: self.own.incarnation,
+            beat: core.beat,
+            phase: core.phase,
+            failure_domain: self.own.failure_domain.clone(),
+            region: self.own.region.clone(),
+            callers: self.own.callers,
+            mesh: self.own.mesh,
+            applied: core.applied,
+            demand: core.quotas.demand(now),
+        }
+    }
+
+    /// Does what time brings: hosts and targets that are gone, shares of limits, whether this host is ready.
+    pub fn tick(&self) {
+        let now = Instant::now();
+        let has_configuration = self.configuration.load().is_some();
+        let mut core = self.lock();
+        if core.phase == HostPhase::Starting && has_configuration && core.has_targets {
+            core.phase = HostPhase::Serving;
+            info!("host is ready", kv: { host: = self.own.host, applied:? = core.applied });
+        }
+        core.drop_vanished(now);
+        core.roster.prune(now);
+        let own = &self.own.host;
+        let EntryCore { roster, quotas, board, .. } = &mut *core;
+        let others = |customer: &str| {
+            let demand = |news: &HostNews| news.demand.get(customer).copied().unwrap_or(0.0);
+            let peers = roster.counted().filter(|news| news.host != *own);
+            peers.map(|news| f64::from(demand(news))).collect()
+        };
+        quotas.rebalance(others, now);
+        let hosts = roster.counted().filter(|news| news.host != *own).map(board_host);
+        let own_host =
+            BoardHost { host: own.clone(), failure_domain: self.own.failure_domain.clone() };
+        board.set_hosts(std::iter::once(own_host).chain(hosts).collect());
+    }
+
+    fn put_configuration(
+        &self,
+        core: &mut EntryCore,
+        configuration: EntryConfiguration,
+        revision: Revision,
+        now: Instant,
+    ) {
+        if revision <= core.applied[StatePart::Configuration as usize] {
+            return;
+        }
+        info!("configuration applied", kv: {
+            version: = configuration.version,
+            revision:,
+            customers = configuration.customers.len() as u64,
+            keys = configuration.keys.len() as u64
+        });
+        let services = configuration.services.iter();
+        core.board.set_services(
+            services.map(|(name, spec)| (name.clone(), spec.cold_rate, spec.cold_time)),
+        );
+        let customers = configuration.customers.iter();
+        let limits = customers.map(|(name, customer)| (name.clone(), customer.limit));
+        core.quotas.set_limits(limits, now);
+        let is_known = |route: &RouteId| {
+            configuration.routes.values().flatten().any(|known| known.name == *route)
+        };
+        core.splits.retain(|route, _| is_known(route));
+        self.configuration.store(Some(Arc::new(configuration)));
+    }
+}
+
+impl EntryCore {
+    /// Revision of the latest change of a part that was applied.
+    pub fn applied(&self, part: StatePart) -> Revision {
+        self.applied[part as usize]
+    }
+
+    /// Whether the host leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.phase == HostPhase::Leaving
+    }
+
+    /// The next service of a route's split.
+    pub fn draw_service(&mut self, route: &RouteId, weights: &[f64]) -> Option<usize> {
+        match weights {
+            [] => None,
+            [_] => Some(0),
+            _ => self.splits.entry(route.clone()).or_default().draw(weights),
+        }
+    }
+
+    /// Retries of a service.
+    pub fn retries(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        self.retries.entry(service.clone()).or_default()
+    }
+
+    fn put_target(&mut self, entry: TargetEntry, now: Instant) {
+        self.vanished.shift_remove(&entry.target);
+        let (target, state) = (entry.target.clone(), entry.state);
+        let (service, domain) = (entry.service.clone(), entry.failure_domain.clone());
+        let is_new = self.board.put(entry, now);
+        info!("target entry applied", kv: {
+            target:, service:, failure_domain: = domain, state:?, is_new:
+        });
+    }
+
+    fn target_gone(&mut self, target: TargetId, is_outage: bool, now: Instant) {
+        match is_outage && self.board.is_open(&target) {
+            true => {
+                info!("target may come back", kv: { target: });
+                self.vanished.entry(target).or_insert(now + RETURN_TIME);
+            }
+            false if self.board.remove(&target) => info!("target is gone", kv: { target: }),
+            false => {}
+        }
+    }
+
+    fn retain_targets(&mut self, changes: &[StateChange], is_outage: bool, now: Instant) {
+        let listed: IndexSet<&str> = changes
+            .iter()
+            .filter_map(|change| match change {
+                StateChange::Target(entry) => Some(&*entry.target),
+                _ => None,
+            })
+            .collect();
+        let missing = self.board.names().filter(|name| !listed.contains(&***name)).cloned();
+        for target in missing.collect::<Vec<_>>() {
+            self.target_gone(target, is_outage, now);
+        }
+    }
+
+    fn drop_vanished(&mut self, now: Instant) {
+        let due: Vec<TargetId> = self
+            .vanished
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in due {
+            self.vanished.shift_remove(&target);
+            self.target_gone(target, false, now);
+        }
+    }
+}
+
+fn board_host(news: &HostNews) -> BoardHost {
+    BoardHost { host: news.host.clone(), failure_domain: news.failure_domain.clone() }
+}
--- /dev/null
+++ b/crates/buckthornturn/src/entry/guarded_dialer.rs
@@ -0,0 +1,48 @@
+//! Connections that notice a silent other side.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+
+use crate::interface::StreamDialer;
+
+/// Silence after which a connection is probed, and the pause between probes; a dead connection is known within 3 s.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+/// Time for which sent bytes may stay without an ack.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Opens connections that are probed while they are silent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GuardedDialer;
+
+impl StreamDialer for GuardedDialer {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> {
+        async move {
+            let stream = TcpStream::connect(address).await?;
+            guard(&stream)?;
+            Ok(stream)
+        }
+        .boxed()
+    }
+}
+
+/// Has a connection probed while it is silent.
+///
+/// # Errors
+///
+/// Fails if the system refuses the options.
+pub fn guard(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SEND_TIMEOUT))?;
+    stream.set_nodelay(true)
+}
--- /dev/null
+++ b/crates/buckthornturn/src/entry/request_facts.rs
@@ -0,0 +1,129 @@
+//! What is known of one request before any of it is passed on.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use coordination::ids::CustomerId;
+use coordination::ids::RegionId;
+use coordination::rendezvous::rendezvous_score;
+use http::Request;
+use http::StatusCode;
+use http::header;
+
+use crate::callers::Refusal;
+use crate::callers::content_length;
+use crate::callers::named_host;
+use crate::entry::EntryConfiguration;
+use crate::entry::EntryRoute;
+use crate::interface::CallerDialect;
+use crate::interface::CallerFacts;
+
+/// What is known of one request before any of it is passed on.
+#[derive(Clone, Debug)]
+pub struct RequestFacts {
+    /// Identifier of the caller's attempt, for logs and to tell answers apart.
+    pub attempt: Box<str>,
+    /// Configuration that it was checked against.
+    pub configuration: Arc<EntryConfiguration>,
+    /// Route.
+    pub route: EntryRoute,
+    /// Customer whose key came with it.
+    pub customer: Option<CustomerId>,
+    /// Hash of the object that it concerns.
+    pub object: Option<u64>,
+    /// Regions where it may run; all if none is named.
+    pub regions: Vec<RegionId>,
+    /// Rank; 0 is the highest.
+    pub priority: u32,
+    /// When it came.
+    pub arrived: Instant,
+    /// Time that the caller waits.
+    pub patience: Duration,
+}
+
+impl RequestFacts {
+    /// Checks a request against the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Says why it is refused; it has not run.
+    pub fn of<B>(
+        configuration: Arc<EntryConfiguration>,
+        dialect: &dyn CallerDialect,
+        request: &Request<B>,
+    ) -> Result<Self, Refusal> {
+        let host = named_host(request).ok_or_else(|| bad_request("bad-host"))?;
+        let facts = dialect.caller_facts(request.headers());
+        let path = request.uri().path();
+        let route = configuration
+            .route_for(&host, path)
+            .ok_or_else(|| Refusal::not_run(StatusCode::NOT_FOUND, "no-route"))?
+            .clone();
+        let (customer, spec) = match facts.key.as_deref().map(|key| configuration.customer_of(key))
+        {
+            Some(Some((name, spec))) => (Some(name.clone()), Some(spec)),
+            _ if route.is_open || configuration.customers.is_empty() => (None, None),
+            _ => return Err(Refusal::not_run(StatusCode::UNAUTHORIZED, "key")),
+        };
+        let body_bytes = content_length(request.headers())?;
+        if body_bytes.is_some_and(|bytes| bytes > configuration.limits.max_body_bytes) {
+            return Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"));
+        }
+        let regions = spec.map_or(Vec::new(), |spec| spec.regions.clone());
+        Ok(Self {
+            attempt: facts.attempt.clone().unwrap_or_default(),
+            customer,
+            object: object_of(&facts, &route),
+            regions: common_regions(&route.regions, regions),
+            priority: spec.and_then(|spec| spec.priority).unwrap_or(route.priority),
+            arrived: Instant::now(),
+            patience: facts.time_left.unwrap_or(route.timeout),
+            route,
+            configuration,
+        })
+    }
+
+    /// Moment by which the caller has a final answer.
+    pub fn deadline(&self) -> Instant {
+        self.arrived + self.patience.min(self.route.timeout)
+    }
+
+    /// Time left until then.
+    pub fn time_left(&self) -> Duration {
+        self.deadline().saturating_duration_since(Instant::now())
+    }
+
+    /// Whether the regions of the route and of the customer exclude each other.
+    pub fn is_homeless(&self) -> bool {
+        self.regions.iter().any(|region| region.is_empty())
+    }
+}
+
+/// Regions that both lists allow; an empty list allows all. Lists that exclude each other leave a region without a name,
+/// which no target has.
+fn common_regions(route: &[RegionId], customer: Vec<RegionId>) -> Vec<RegionId> {
+    match (route.is_empty(), customer.is_empty()) {
+        (_, true) => route.to_vec(),
+        (true, false) => customer,
+        (false, false) => {
+            let common: Vec<_> =
+                customer.into_iter().filter(|region| route.contains(region)).collect();
+            if common.is_empty() { vec!["".into()] } else { common }
+        }
+    }
+}
+
+fn object_of(facts: &CallerFacts, route: &EntryRoute) -> Option<u64> {
+    let object = facts.object.as_deref().filter(|_| route.keeps_objects)?;
+    Some(rendezvous_score(&[&route.name, object]))
+}
+
+fn bad_request(reason: &'static str) -> Refusal {
+    Refusal::not_run(StatusCode::BAD_REQUEST, reason)
+}
+
+/// Whether a request asks for an upgrade of its connection, which is not passed on.
+pub fn asks_upgrade<B>(request: &Request<B>) -> bool {
+    request.headers().contains_key(header::UPGRADE)
+}
--- a/crates/buckthornturn/src/host_process.rs
+++ b/crates/buckthornturn/src/host_process.rs
@@ -1,23 +1,12 @@
 //! One entry host: its listeners and the parts behind them.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
-use http::Response;
-use hyper::body::Body;
-use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use hyper_util::server::conn::auto::Builder;
 use snafu::ResultExt;
 use snafu::Snafu;
-use spdlog::debug;
 use spdlog::info;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -35,6 +24,7 @@
 use crate::host_parts::start_steering;
 use crate::interface::StreamDialer;
 use crate::interface::TcpDialer;
+use crate::listener::serve;
 use crate::mesh::MeshCounters;
 use crate::mesh::MeshThread;
 use crate::mesh::PeerRegistry;
@@ -45,10 +35,10 @@
 use crate::store::HttpStore;
 use crate::tls::HostTls;
 use crate::tls::TlsError;
-use crate::tls::accept_tls;
 
 /// Why a host could not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum HostError {
     /// A listener could not be opened.
     #[snafu(display("cannot listen for {role} on {address}"))]
@@ -196,7 +186,7 @@
     }
 }
 
-async fn listen(
+pub(crate) async fn listen(
     role: &'static str,
     address: SocketAddr,
 ) -> Result<(TcpListener, SocketAddr), HostError> {
@@ -216,33 +206,3 @@
     };
     serve(listener, tls, handler).await;
 }
-
-async fn serve<H, F, B>(listener: TcpListener, tls: Option<TlsAcceptor>, handler: H)
-where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: Body + Send + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let mut connections = JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        let Ok((stream, peer)) = listener.accept().await else { continue };
-        let (handler, tls) = (handler.clone(), tls.clone());
-        connections.spawn(async move {
-            let stream = match accept_tls(tls.as_ref(), stream).await {
-                Ok(stream) => stream,
-                Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
-            };
-            let service = service_fn(move |request| {
-                let answer = handler(request, peer);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let mut builder = Builder::new(TokioExecutor::new());
-            builder.http1().timer(TokioTimer::new());
-            builder.http2().timer(TokioTimer::new());
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
--- a/crates/buckthornturn/src/logging/process_log.rs
+++ b/crates/buckthornturn/src/logging/process_log.rs
@@ -20,13 +20,13 @@
 pub struct ProcessLog;
 
 impl ProcessLog {
-    /// Makes the process log as the settings say, to standard error.
+    /// Makes the process log as the settings say, to standard output.
     ///
     /// # Errors
     ///
     /// Fails if the logging library refuses the logger.
     pub fn start(settings: &LogSettings) -> spdlog::Result<()> {
-        let sink = StdStreamSink::builder().stderr();
+        let sink = StdStreamSink::builder().stdout();
         let sink = match settings.format {
             LogFormat::KeyValue => sink.formatter(LineFormatter).build_arc()?,
             LogFormat::Json => sink.formatter(JsonFormatter::new()).build_arc()?,
--- /dev/null
+++ b/crates/buckthornturn/src/platform/config_document.rs
@@ -0,0 +1,210 @@
+//! The operator's document as the store holds it.
+
+use std::time::Duration;
+
+use coordination::fleet::CustomerLimit;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::Value;
+use spdlog::warn;
+
+use crate::callers::key_hash;
+use crate::entry::EntryConfiguration;
+use crate::entry::EntryCustomer;
+use crate::entry::EntryLimits;
+use crate::entry::EntryRoute;
+use crate::entry::EntryService;
+use crate::entry::ServiceWeight;
+
+/// Most targets that an attempt is sent to where a route does not say.
+const DEFAULT_ATTEMPTS: u32 = 1;
+/// Longest wait of a caller where a route does not say.
+const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+/// Largest body where the limits do not say; the value of the platform's own example.
+const DEFAULT_BODY_BYTES: u64 = 64 << 20;
+/// Idle time of a connection where the limits do not say; the value of the platform's own example.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+
+#[derive(Deserialize)]
+struct Document {
+    version: Box<str>,
+    resources: Vec<Resource>,
+}
+
+#[derive(Deserialize)]
+struct Resource {
+    /// What the entry is, in the plural: `routes`, `services`, `tenants` or `limits`.
+    resource_kind: Box<str>,
+    #[serde(default)]
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Default, Deserialize)]
+struct Metadata {
+    #[serde(default)]
+    name: Box<str>,
+}
+
+#[derive(Deserialize)]
+struct RouteBody {
+    hostname: Box<str>,
+    path_prefix: Box<str>,
+    /// Says what may be repeated: only `idempotent` may.
+    route_type: Box<str>,
+    #[serde(default)]
+    timeout_ms: Option<u64>,
+    /// Latency objective.
+    #[serde(default)]
+    target_latency_ms: Option<u64>,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    backend_service: Option<Box<str>>,
+    #[serde(default)]
+    traffic_split: Vec<SplitBody>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    /// Objects are kept on the targets that handled them.
+    #[serde(default)]
+    session_affinity: bool,
+    #[serde(default)]
+    allowed_regions: Vec<Box<str>>,
+}
+
+#[derive(Deserialize)]
+struct SplitBody {
+    backend_service: Box<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct ServiceBody {
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct CustomerBody {
+    #[serde(default)]
+    api_keys: Vec<Box<str>>,
+    #[serde(default)]
+    priority: Option<u32>,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+    #[serde(default)]
+    allowed_regions: Vec<Box<str>>,
+}
+
+#[derive(Deserialize)]
+struct LimitsBody {
+    #[serde(default)]
+    max_body_bytes: Option<u64>,
+    #[serde(default)]
+    idle_timeout_ms: Option<u64>,
+}
+
+/// Reads the operator's document.
+///
+/// # Errors
+///
+/// Says which entry cannot be read, and why.
+pub fn decode_configuration(document: &Value) -> Result<EntryConfiguration, Box<str>> {
+    let document: Document = read(document, "configuration")?;
+    let mut routes = Vec::new();
+    let mut configuration = EntryConfiguration {
+        version: document.version,
+        routes: IndexMap::new(),
+        services: IndexMap::new(),
+        customers: IndexMap::new(),
+        keys: IndexMap::new(),
+        limits: EntryLimits {
+            max_body_bytes: DEFAULT_BODY_BYTES,
+            idle_timeout: Duration::from_millis(DEFAULT_IDLE_MS),
+        },
+    };
+    for resource in &document.resources {
+        let name = &resource.metadata.name;
+        match &*resource.resource_kind {
+            "routes" => routes.push(route(name, read(&resource.spec, name)?)?),
+            "services" => {
+                let body: ServiceBody = read(&resource.spec, name)?;
+                configuration.services.insert(name.clone(), service(&body));
+            }
+            "tenants" => {
+                let body: CustomerBody = read(&resource.spec, name)?;
+                for key in &body.api_keys {
+                    configuration.keys.insert(key_hash(key), name.clone());
+                }
+                configuration.customers.insert(name.clone(), customer(body));
+            }
+            "limits" => {
+                let body: LimitsBody = read(&resource.spec, "limits")?;
+                configuration.limits = limits(&body);
+            }
+            kind => warn!("entry of the configuration left out", kv: { kind:, name: }),
+        }
+    }
+    configuration.routes = EntryConfiguration::group_routes(routes);
+    Ok(configuration)
+}
+
+fn route(name: &str, body: RouteBody) -> Result<EntryRoute, Box<str>> {
+    let split = body.traffic_split.into_iter();
+    let mut services: Vec<ServiceWeight> = split
+        .map(|part| ServiceWeight { service: part.backend_service, weight: part.weight })
+        .collect();
+    if let (true, Some(service)) = (services.is_empty(), body.backend_service) {
+        services.push(ServiceWeight { service, weight: 1.0 });
+    }
+    if services.is_empty() {
+        return Err(format!("{name}: the route names no service").into());
+    }
+    let timeout_ms = body.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+    Ok(EntryRoute {
+        name: name.into(),
+        host: body.hostname.to_ascii_lowercase().into(),
+        path_prefix: body.path_prefix,
+        services,
+        is_repeatable: &*body.route_type == "idempotent",
+        is_open: body.public,
+        keeps_objects: body.session_affinity,
+        max_attempts: body.max_attempts.unwrap_or(DEFAULT_ATTEMPTS),
+        timeout: Duration::from_millis(timeout_ms),
+        objective: Duration::from_millis(body.target_latency_ms.unwrap_or(timeout_ms)),
+        priority: body.priority,
+        regions: body.allowed_regions,
+    })
+}
+
+fn service(body: &ServiceBody) -> EntryService {
+    let cold_time = Duration::try_from_secs_f64(body.cold_start_s).unwrap_or_default();
+    EntryService { cold_time, cold_rate: body.cold_per_s }
+}
+
+fn customer(body: CustomerBody) -> EntryCustomer {
+    EntryCustomer {
+        limit: CustomerLimit { rate: body.rate_per_s, burst: body.burst },
+        priority: body.priority,
+        regions: body.allowed_regions,
+    }
+}
+
+fn limits(body: &LimitsBody) -> EntryLimits {
+    EntryLimits {
+        max_body_bytes: body.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+        idle_timeout: Duration::from_millis(body.idle_timeout_ms.unwrap_or(DEFAULT_IDLE_MS)),
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(value: &'a Value, place: &str) -> Result<T, Box<str>> {
+    serde_path_to_error::deserialize(value)
+        .map_err(|error| format!("{place}: {}: {}", error.path(), error.inner()).into())
+}
--- /dev/null
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the adapter.
--- /dev/null
+++ b/crates/buckthornturn/src/platform/wire_dialect.rs
@@ -0,0 +1,135 @@
+//! Headers of callers and targets, look-ups and the question for readiness, as the platform spells them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coordination::fleet::TargetLoad;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::Uri;
+use http::response;
+use percent_encoding::percent_decode_str;
+use serde_json::json;
+
+use crate::interface::AnswerFacts;
+use crate::interface::CallerDialect;
+use crate::interface::CallerFacts;
+use crate::interface::LookUpAsk;
+use crate::interface::TargetNotice;
+
+/// Identifier of one attempt of a caller.
+const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
+/// Key of a customer, bare.
+const KEY: HeaderName = HeaderName::from_static("x-credential");
+/// Object that a request concerns.
+const OBJECT: HeaderName = HeaderName::from_static("x-affinity-key");
+/// Not a point in time: the milliseconds that the sender still waits.
+const TIME_LEFT: HeaderName = HeaderName::from_static("x-request-deadline");
+/// Identity of the target that is meant.
+const TARGET: HeaderName = HeaderName::from_static("x-target-instance");
+/// Customer whose key came with a request.
+const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant-name");
+/// A target's signature of its answer.
+const SIGNATURE: HeaderName = HeaderName::from_static("x-server-signature");
+/// A target's word that it did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+/// Requests that a target runs and has waiting, and its slots.
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+/// Milliseconds for which a target stays cold.
+const COLD_FOR: HeaderName = HeaderName::from_static("x-cold-remaining-ms");
+/// How long a target keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const LOOK_UP_PATH: &str = "/resolve";
+const READINESS_PATH: &str = "/readiness";
+
+/// The platform's spelling.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WireDialect;
+
+impl CallerDialect for WireDialect {
+    fn caller_facts(&self, headers: &HeaderMap) -> CallerFacts {
+        CallerFacts {
+            attempt: text(headers, &ATTEMPT),
+            key: text(headers, &KEY),
+            object: text(headers, &OBJECT),
+            time_left: millis(headers, &TIME_LEFT),
+        }
+    }
+
+    fn notify_target(&self, headers: &mut HeaderMap, notice: &TargetNotice<'_>) {
+        headers.remove(KEY);
+        headers.remove(CUSTOMER);
+        let values = [(TARGET, Some(notice.target)), (CUSTOMER, notice.customer)];
+        for (name, value) in values {
+            if let Some(Ok(value)) = value.map(HeaderValue::from_str) {
+                headers.insert(name, value);
+            }
+        }
+        headers.insert(TIME_LEFT, HeaderValue::from(notice.time_left.as_millis() as u64));
+    }
+
+    fn answer_facts(&self, answer: &response::Parts) -> AnswerFacts {
+        let headers = &answer.headers;
+        AnswerFacts {
+            attempt: text(headers, &ATTEMPT),
+            is_signed: headers.contains_key(&SIGNATURE),
+            is_not_run: headers.contains_key(&NOT_RUN),
+            is_other_target: answer.status == StatusCode::MISDIRECTED_REQUEST,
+            load: text(headers, &LOAD).and_then(|load| load_of(&load)),
+            cold_for: millis(headers, &COLD_FOR),
+            keeps_idle: text(headers, &KEEP_ALIVE).and_then(|value| idle_of(&value)),
+        }
+    }
+
+    fn pause(&self, pause: Duration) -> HeaderValue {
+        let text = format!("{:.3}", pause.as_secs_f64());
+        HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+    }
+
+    fn look_up(&self, uri: &Uri) -> Option<LookUpAsk> {
+        if uri.path() != LOOK_UP_PATH {
+            return None;
+        }
+        let query = uri.query().unwrap_or_default();
+        let value = |name: &str| -> Box<str> {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next();
+            percent_decode_str(found.unwrap_or_default()).decode_utf8_lossy().into()
+        };
+        Some(LookUpAsk { region: value("region"), failure_domain: value("zone") })
+    }
+
+    fn look_up_answer(&self, addresses: &[SocketAddr], life: Duration) -> Bytes {
+        json!({ "addresses": addresses, "ttl_s": life.as_secs_f64() }).to_string().into()
+    }
+
+    fn is_readiness(&self, path: &str) -> bool {
+        path == READINESS_PATH
+    }
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Box<str>> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(Into::into)
+}
+
+fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let value = text(headers, name)?;
+    value.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Reads `running,waiting,slots`.
+fn load_of(value: &str) -> Option<TargetLoad> {
+    let mut numbers = value.split(',').map(|number| number.trim().parse::<u32>().ok());
+    let mut next = || numbers.next().flatten();
+    Some(TargetLoad { running: next()?, waiting: next()?, slots: next()? })
+}
+
+/// Reads `timeout=SECONDS` among the parameters.
+fn idle_of(value: &str) -> Option<Duration> {
+    let mut parameters = value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/buckthornturn/src/settings/mod.rs
+++ b/crates/buckthornturn/src/settings/mod.rs
@@ -1,12 +1,17 @@
 //! Settings of one host, read once at start from a file in JSON with comments.
 
 mod caller_bounds;
+mod entry_settings;
 mod host_settings;
 mod log_settings;
 mod operator_settings;
 mod tls_settings;
 
 pub use caller_bounds::CallerBounds;
+pub use entry_settings::EntryBounds;
+pub use entry_settings::EntryListeners;
+pub use entry_settings::EntrySettings;
+pub use entry_settings::PlatformSettings;
 pub use host_settings::HostSettings;
 pub use host_settings::ListenerSettings;
 pub use host_settings::MetricsSettings;
--- a/crates/buckthornturn/src/store/mod.rs
+++ b/crates/buckthornturn/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod read_coalescer;
 mod store_guard;
 
+pub(crate) use connection_pool::ConnectionPool;
 pub use http_store::HttpStore;
 pub use store_guard::StoreCallKind;
 pub use store_guard::StoreCount;
--- a/crates/buckthornturn/src/subcommand/check_command.rs
+++ b/crates/buckthornturn/src/subcommand/check_command.rs
@@ -10,6 +10,7 @@
 use crate::configuration::ConfigRules;
 use crate::configuration::ConfigurationState;
 use crate::document::ConfigDocument;
+use crate::document::EntryDocument;
 use crate::document::FileProblem;
 use crate::document::SettingsDocument;
 use crate::error::Error;
@@ -35,9 +36,14 @@
     pub(super) fn run(self) -> Result<(), Error> {
         let text =
             std::fs::read_to_string(&self.file).context(ReadFileSnafu { path: &self.file })?;
-        let problems = match SettingsDocument::is_likely(&text) {
-            true => SettingsDocument::parse(&text).err().unwrap_or_default(),
-            false => config_problems(&text, self.partial),
+        let problems = match &*text {
+            text if EntryDocument::is_likely(text) => {
+                EntryDocument::parse(text).err().unwrap_or_default()
+            }
+            text if SettingsDocument::is_likely(text) => {
+                SettingsDocument::parse(text).err().unwrap_or_default()
+            }
+            text => config_problems(text, self.partial),
         };
         if self.json {
             let rows: Vec<_> = problems.iter().map(problem_row).collect();
--- a/crates/buckthornturn/src/subcommand/host_command.rs
+++ b/crates/buckthornturn/src/subcommand/host_command.rs
@@ -1,14 +1,21 @@
 //! `host`: runs an entry host.
 
+use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use pico_args::Arguments;
 use snafu::ResultExt;
+use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::document::EntryDocument;
 use crate::document::SettingsDocument;
+use crate::entry::EntryParts;
+use crate::entry::EntryProcess;
+use crate::entry::GuardedDialer;
 use crate::error::Error;
 use crate::error::HostSnafu;
 use crate::error::InvalidFileSnafu;
@@ -17,6 +24,9 @@
 use crate::error::RuntimeSnafu;
 use crate::host_process::HostProcess;
 use crate::logging::ProcessLog;
+use crate::platform::StoreSource;
+use crate::platform::WireDialect;
+use crate::settings::EntrySettings;
 use crate::settings::HostSettings;
 use crate::subcommand::check_command::file_problems;
 use crate::subcommand::usage;
@@ -36,6 +46,9 @@
     pub(super) fn run(self) -> Result<(), Error> {
         let path = self.settings;
         let text = std::fs::read_to_string(&path).context(ReadFileSnafu { path: &path })?;
+        if EntryDocument::is_likely(&text) {
+            return run_entry(&path, &text);
+        }
         let settings = match SettingsDocument::parse(&text) {
             Ok(settings) => settings,
             Err(problems) => {
@@ -47,6 +60,32 @@
     }
 }
 
+/// Runs an entry host on the platform, on one thread: a host has a fifth of a core.
+fn run_entry(path: &Path, text: &str) -> Result<(), Error> {
+    let settings = EntryDocument::parse(text)
+        .or_else(|problems| InvalidFileSnafu { problems: file_problems(path, &problems) }.fail())?;
+    ProcessLog::start(&settings.log).context(LogSnafu)?;
+    let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    runtime.block_on(serve_entry(settings))
+}
+
+async fn serve_entry(settings: EntrySettings) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let (store, domains) = (settings.platform.store, settings.domains.clone());
+    let parts = EntryParts {
+        source: Arc::new(StoreSource::new(store, domains, Arc::new(GuardedDialer))),
+        dialect: Arc::new(WireDialect),
+    };
+    let process = EntryProcess::start(settings, parts).await.context(HostSnafu)?;
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+    process.shutdown().await;
+    spdlog::default_logger().flush();
+    Ok(())
+}
+
 async fn serve(settings: HostSettings) -> Result<(), Error> {
     let limit = settings.shutdown();
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
--- a/crates/buckthornturn/tests/contract/command_line.rs
+++ b/crates/buckthornturn/tests/contract/command_line.rs
@@ -79,7 +79,7 @@
     assert_eq!(output.status.code(), Some(2), "{output:?}");
     let text = String::from_utf8(output.stderr).unwrap();
     for part in [
-        "check-broken.jsonc:3:56: objects[0].rate_per_second: 0 is not a number above 0",
+        "check-broken.jsonc:3:58: objects[0].rate_per_second: 0 is not a number above 0",
         "check-broken.jsonc:4:5: objects[1].profile: this field is missing",
         "check-broken.jsonc:4:57: objects[1].profil: unknown field",
     ] {
--- /dev/null
+++ b/crates/coordination/src/fleet/host_news.rs
@@ -0,0 +1,51 @@
+//! What a host says about itself to the others.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::CustomerId;
+use crate::ids::DomainId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::RegionId;
+use crate::ids::Revision;
+
+/// Whether a host takes new callers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostPhase {
+    /// It has no configuration or no targets yet.
+    Starting,
+    /// It does.
+    Serving,
+    /// It ends soon.
+    Leaving,
+}
+
+/// What a host says about itself to the others.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HostNews {
+    /// Host.
+    pub host: HostId,
+    /// Random number of its process start; says which process speaks, not which is later.
+    pub incarnation: Incarnation,
+    /// Number of the heartbeat within the process.
+    pub beat: u64,
+    /// Whether it takes new callers.
+    pub phase: HostPhase,
+    /// Failure domain.
+    pub failure_domain: DomainId,
+    /// Region.
+    pub region: RegionId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other hosts.
+    pub mesh: SocketAddr,
+    /// Revision of the latest change that it has applied, for each part of the state in the order of `StatePart`.
+    pub applied: [Revision; 3],
+    /// Requests a second that it sees of each customer with a limit.
+    pub demand: IndexMap<CustomerId, f32>,
+}
--- /dev/null
+++ b/crates/coordination/src/fleet/service_times.rs
@@ -0,0 +1,59 @@
+//! How long targets work on the requests of a route.
+
+use std::time::Duration;
+
+/// Weight of the latest measurement.
+const LATEST: f64 = 0.05;
+/// Weight of the latest measurement while few were taken.
+const FIRST: f64 = 0.3;
+const FIRST_COUNT: u32 = 10;
+/// Service time assumed before any measurement, as a part of the route's latency objective.
+const ASSUMED_PART: f64 = 0.8;
+
+/// Moving averages of the service time of one route, for objects that the target handled lately and for others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceTimes {
+    warm: MovingAverage,
+    cold: MovingAverage,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct MovingAverage {
+    seconds: f64,
+    count: u32,
+}
+
+impl ServiceTimes {
+    /// Takes a measured time of a target that works `speed` times as long as usual.
+    pub fn measured(&mut self, time: Duration, is_warm: bool, speed: f64) {
+        let seconds = time.as_secs_f64() / speed.max(f64::MIN_POSITIVE);
+        match is_warm {
+            true => self.warm.add(seconds),
+            false => self.cold.add(seconds),
+        }
+    }
+
+    /// Time expected for an object that is warm with a likelihood of `warmth`.
+    pub fn expected(&self, warmth: f64, objective: Duration) -> f64 {
+        let assumed = objective.as_secs_f64() * ASSUMED_PART;
+        let cold = self.cold.value().unwrap_or(assumed);
+        let warm = self.warm.value().unwrap_or(cold).min(cold);
+        warmth * warm + (1.0 - warmth) * cold
+    }
+}
+
+impl MovingAverage {
+    fn value(&self) -> Option<f64> {
+        (self.count > 0).then_some(self.seconds)
+    }
+
+    fn add(&mut self, seconds: f64) {
+        let weight = match self.count {
+            0 => 1.0,
+            count if count < FIRST_COUNT => FIRST,
+            _ => LATEST,
+        };
+        self.seconds += weight * (seconds - self.seconds);
+        self.count = self.count.saturating_add(1);
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod customer_budget;
 pub mod demand_meter;
 pub mod fair_queue;
+pub mod fleet;
 pub mod floor_ledger;
 pub mod floor_plan;
 pub mod floor_share;
