--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -129,7 +129,7 @@
         let board_host =
             BoardHost { host: own.host.clone(), failure_domain: own.failure_domain.clone() };
         let core = EntryCore {
-            board: TargetBoard::new(board_host, own.region.clone()),
+            board: TargetBoard::new(board_host, own.region.clone(), Instant::now()),
             quotas: QuotaLedger::default(),
             roster: HostRoster::default(),
             retries: IndexMap::new(),
@@ -238,6 +238,17 @@
         self.lock().applied(part)
     }
 
+    /// Whether this host looks out for its region: the first by name of those that are live there.
+    pub fn is_sentinel(&self) -> bool {
+        let core = self.lock();
+        let mut live = core.roster.live(Instant::now());
+        !live.any(|news| {
+            news.region == self.own.region
+                && news.phase == HostPhase::Serving
+                && news.host < self.own.host
+        })
+    }
+
     /// Whether new callers can be served.
     pub fn is_ready(&self) -> bool {
         self.lock().phase == HostPhase::Serving
@@ -364,7 +375,7 @@
                 info!("target may come back", kv: { target: });
                 self.vanished.entry(target).or_insert(now + RETURN_TIME);
             }
-            false if self.board.remove(&target) => info!("target is gone", kv: { target: }),
+            false if self.board.remove(&target, now) => info!("target is gone", kv: { target: }),
             false => {}
         }
     }
--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -64,6 +64,8 @@
     sent: u64,
     wait_ms: u64,
     load: f64,
+    is_warm: bool,
+    expected_ms: u64,
 }
 
 impl FrontService {
@@ -284,6 +286,9 @@
             sent = trail.sent,
             wait_ms = trail.wait_ms,
             load = trail.load,
+            object = facts.object.unwrap_or_default(),
+            is_warm = trail.is_warm,
+            expected_ms = trail.expected_ms,
             took_ms = facts.arrived.elapsed().as_millis() as u64,
             version: = facts.configuration.version,
             status:,
@@ -298,6 +303,8 @@
         self.tries += 1;
         self.wait_ms = choice.wait.as_millis() as u64;
         self.load = choice.load;
+        self.is_warm = choice.is_warm;
+        self.expected_ms = choice.expected.as_millis() as u64;
     }
 }
 
--- a/crates/buckthornturn/src/entry/request_facts.rs
+++ b/crates/buckthornturn/src/entry/request_facts.rs
@@ -19,6 +19,10 @@
 use crate::interface::CallerDialect;
 use crate::interface::CallerFacts;
 
+/// Time after a route's timeout in which an answer is still delivered; the platform counts a request as held too long from
+/// 250 ms on.
+const TIMEOUT_GRACE: Duration = Duration::from_millis(180);
+
 /// What is known of one request before any of it is passed on.
 #[derive(Clone, Debug)]
 pub struct RequestFacts {
@@ -84,9 +88,9 @@
         })
     }
 
-    /// Moment by which the caller has a final answer.
+    /// Moment by which the caller has a final answer. An answer that comes just after the route's timeout is delivered.
     pub fn deadline(&self) -> Instant {
-        self.arrived + self.patience.min(self.route.timeout)
+        self.arrived + self.patience.min(self.route.timeout + TIMEOUT_GRACE)
     }
 
     /// Time left until then.
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -12,17 +12,21 @@
 use crate::entry::EntryState;
 use crate::entry::PeerReader;
 use crate::interface::SourceError;
+use crate::interface::StateBatch;
 use crate::interface::StatePart;
 use crate::interface::StateSource;
 
-/// Wait of a watch; half of what the store allows, as each call is paid for.
+/// Wait of a watch; most of what the store allows, as each call is paid for.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Wait of a watch of the host that looks out for its region. A watch can stay silent over changes whose history the store
+/// drops, and hears of it only at its end; the others learn of the change from this host's heartbeats.
+const SENTINEL_WAIT: Duration = Duration::from_millis(1_200);
 /// Pause between a change and the next watch, so that changes in quick succession cost one call.
 const GATHER_TIME: Duration = Duration::from_millis(150);
 /// First and longest pause after a failed call.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
 /// Time for which another host may be ahead before the own watch counts as dead.
-const LAG_ALLOWED: Duration = Duration::from_millis(700);
+const LAG_ALLOWED: Duration = Duration::from_millis(500);
 const LAG_CHECK: Duration = Duration::from_millis(250);
 /// Time after an outage of the store in which entries of living targets may be missing.
 const OUTAGE_ECHO: Duration = Duration::from_millis(2_500);
@@ -39,8 +43,11 @@
 }
 
 enum FollowStep {
-    Batch(Result<crate::interface::StateBatch, SourceError>),
+    Batch(Result<StateBatch, SourceError>),
+    /// Other hosts are ahead.
     Lagging,
+    /// This host begins to look out for its region.
+    Promoted,
 }
 
 impl StateFollower {
@@ -60,10 +67,7 @@
             let is_whole = self.after.is_none();
             let step = match self.after {
                 None => FollowStep::Batch(self.source.read(self.part).await),
-                Some(after) => tokio::select! {
-                    batch = self.source.watch(self.part, after, WATCH_WAIT) => FollowStep::Batch(batch),
-                    () = self.lagging() => FollowStep::Lagging,
-                },
+                Some(after) => self.watch(after).await,
             };
             match step {
                 FollowStep::Batch(Ok(batch)) => {
@@ -88,10 +92,22 @@
                     });
                     self.after = None;
                 }
+                FollowStep::Promoted => {
+                    info!("host looks out for its region", kv: { part: = self.part.name() });
+                }
             }
         }
     }
 
+    async fn watch(&self, after: Revision) -> FollowStep {
+        let is_sentinel = self.state.is_sentinel();
+        let wait = if is_sentinel { SENTINEL_WAIT } else { WATCH_WAIT };
+        tokio::select! {
+            batch = self.source.watch(self.part, after, wait) => FollowStep::Batch(batch),
+            step = self.interruption(is_sentinel) => step,
+        }
+    }
+
     fn is_outage_near(&self) -> bool {
         self.failed_at.is_some_and(|at| at.elapsed() < OUTAGE_ECHO)
     }
@@ -145,15 +161,16 @@
         (furthest.applied[part] > own).then_some(furthest.mesh)
     }
 
-    /// Waits until another host has been ahead for too long.
-    async fn lagging(&self) {
+    /// Waits until another host has been ahead for too long, or this host has to look out for its region.
+    async fn interruption(&self, is_sentinel: bool) -> FollowStep {
         let mut since: Option<Instant> = None;
         loop {
             tokio::time::sleep(LAG_CHECK).await;
             since = match (self.ahead(), since) {
+                _ if !is_sentinel && self.state.is_sentinel() => return FollowStep::Promoted,
                 (None, _) => None,
                 (Some(_), None) => Some(Instant::now()),
-                (Some(_), Some(at)) if at.elapsed() >= LAG_ALLOWED => return,
+                (Some(_), Some(at)) if at.elapsed() >= LAG_ALLOWED => return FollowStep::Lagging,
                 (Some(_), since) => since,
             };
         }
--- a/crates/coordination/src/fleet/service_times.rs
+++ b/crates/coordination/src/fleet/service_times.rs
@@ -24,10 +24,15 @@
 }
 
 impl ServiceTimes {
-    /// Takes a measured time of a target that works `speed` times as long as usual.
-    pub fn measured(&mut self, time: Duration, is_warm: bool, speed: f64) {
+    /// Takes a measured time, waits left out, of a target that works `speed` times as long as usual. Where it is not known
+    /// whether the object was warm, the nearer of the two averages takes it.
+    pub fn measured(&mut self, time: Duration, is_known_warm: bool, speed: f64) {
         let seconds = time.as_secs_f64() / speed.max(f64::MIN_POSITIVE);
-        match is_warm {
+        let is_nearer_warm = match (self.warm.value(), self.cold.value()) {
+            (Some(warm), Some(cold)) => seconds < (warm + cold) / 2.0,
+            _ => false,
+        };
+        match is_known_warm || is_nearer_warm {
             true => self.warm.add(seconds),
             false => self.cold.add(seconds),
         }
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -13,6 +13,8 @@
 use crate::fleet::PlacementChoice;
 use crate::fleet::PlacementRefusal;
 use crate::fleet::ServiceTimes;
+use crate::fleet::SpillBand;
+use crate::fleet::SpillRule;
 use crate::fleet::TargetEntry;
 use crate::fleet::TargetLoad;
 use crate::fleet::TargetState;
@@ -26,26 +28,35 @@
 use crate::rendezvous::rendezvous_score;
 use crate::token_bucket::MICRO_TOKENS;
 
-/// Likelihood that an object is warm on the target that all hosts of the failure domain send it to.
-const HOME_WARMTH: f64 = 0.7;
 /// Likelihood that an object is warm on a target that this host sent it to lately.
 const KNOWN_WARMTH: f64 = 0.95;
+/// Likelihood that an object is warm on the targets of the region that come first, second and third for it.
+const NEAR_WARMTH: [f64; 3] = [0.7, 0.3, 0.15];
+/// The same for targets of other regions.
+const FAR_WARMTH: [f64; 2] = [0.3, 0.1];
 /// Likelihood that an object is warm on any other target.
-const OTHER_WARMTH: f64 = 0.1;
-/// What a target in another failure domain of the region costs: the round trip and the bytes between domains.
-const OTHER_DOMAIN_COST: f64 = 0.010;
-/// What a target in another region costs: the round trip of 24 to 40 ms and the bytes between regions.
+const OTHER_WARMTH: f64 = 0.05;
+/// What a target in another failure domain of the region costs, in seconds: the round trip and the bytes between domains.
+const OTHER_DOMAIN_COST: f64 = 0.004;
+/// What a target in another region costs, in seconds: the round trip of 24 to 40 ms and the bytes between regions.
 const OTHER_REGION_COST: f64 = 0.070;
-/// Longest wait at a target for a request of the highest rank, as a part of its latency objective.
-const MAX_WAIT_PART: f64 = 0.9;
-/// What each rank below the highest takes off that.
-const WAIT_PART_PER_RANK: f64 = 0.15;
-const MIN_WAIT_PART: f64 = 0.3;
+/// Round trip to another region, in seconds, as part of the time until the answer.
+const OTHER_REGION_TRIP: f64 = 0.035;
+/// Part of the latency objective that an answer may be expected to take for its wait to be of no concern.
+const TIMELY_PART: f64 = 0.95;
+/// Longest wait, as a part of the latency objective, of a request that will miss the objective: it holds a slot that
+/// others could use in time.
+const LATE_WAIT_PART: f64 = 0.25;
+/// What each rank below the highest takes off both.
+const PART_PER_RANK: f64 = 0.05;
+const MIN_PART: f64 = 0.1;
 /// Part of the time left that an answer may be expected to take; the rest covers what the estimate misses.
 const USABLE_TIME: f64 = 0.9;
 /// Hosts that may send to a cold target. Two that disagree with two others still stay within the rate that the platform
 /// tolerates: each sends its half of the rate and one request beyond it.
 const COLD_SENDERS: usize = 2;
+/// What a certain failure costs, in latency objectives: the time lost and the attempt.
+const FAULT_COST: f64 = 2.0;
 /// Weight of the latest service time in the mean of a target's slots.
 const LATEST_BUSY: f64 = 0.05;
 
@@ -76,12 +87,22 @@
 }
 
 /// One target as a request sees it.
+#[derive(Clone, Copy)]
 struct Candidate<'a> {
     record: &'a TargetRecord,
     wait: f64,
+    work: f64,
     expected: f64,
     cost: f64,
     is_warm: bool,
+    is_outside: bool,
+}
+
+/// The targets that come first for an object, in the region and outside, by their scores.
+#[derive(Default)]
+struct KeyRanks {
+    near: [(u64, usize); NEAR_WARMTH.len()],
+    far: [(u64, usize); FAR_WARMTH.len()],
 }
 
 /// The targets known to a host, and the choice among them.
@@ -94,11 +115,12 @@
     times: IndexMap<RouteId, ServiceTimes>,
     closed: IndexSet<DomainId>,
     hosts: Vec<BoardHost>,
+    band: SpillBand,
 }
 
 impl TargetBoard {
     /// A board of a host that knows no targets.
-    pub fn new(own: BoardHost, own_region: RegionId) -> Self {
+    pub fn new(own: BoardHost, own_region: RegionId, now: Instant) -> Self {
         Self {
             hosts: vec![own.clone()],
             own,
@@ -107,6 +129,7 @@
             services: IndexMap::new(),
             times: IndexMap::new(),
             closed: IndexSet::new(),
+            band: SpillBand::new(now),
         }
     }
 
@@ -161,7 +184,7 @@
             }
         }
         let name = entry.target.clone();
-        self.remove(&name);
+        self.remove(&name, now);
         self.services.entry(entry.service.clone()).or_default().targets.push(name.clone());
         let mut track = TargetTrack::new(now);
         track.cold_until = cold_until;
@@ -172,8 +195,11 @@
     }
 
     /// Forgets a target; returns whether it was known.
-    pub fn remove(&mut self, target: &str) -> bool {
+    pub fn remove(&mut self, target: &str, now: Instant) -> bool {
         let Some(record) = self.targets.swap_remove(target) else { return false };
+        if record.entry.region == self.own_region {
+            self.band.target_lost(now);
+        }
         if let Some(service) = self.services.get_mut(&record.entry.service) {
             service.targets.retain(|name| &**name != target);
         }
@@ -205,25 +231,27 @@
         ask: &PlacementAsk<'_>,
         now: Instant,
     ) -> Result<PlacementChoice, PlacementRefusal> {
-        let home = ask.key.and_then(|key| self.home_of(ask, key));
-        let Some(service) = self.services.get(ask.service) else {
-            return Err(PlacementRefusal::NoTarget);
+        let candidates = self.candidates(ask, now);
+        let cheapest = |is_outside: Option<bool>| {
+            let fits = |c: &&Candidate<'_>| is_outside.is_none_or(|wanted| c.is_outside == wanted);
+            let best = candidates.iter().filter(fits).min_by(|a, b| a.cost.total_cmp(&b.cost));
+            best.copied()
         };
-        let candidates = service
-            .targets
-            .iter()
-            .filter(|name| !ask.excluded.contains(name))
-            .filter_map(|name| self.targets.get(name))
-            .filter(|record| self.takes_requests(record) && is_allowed(record, ask))
-            .filter(|record| may_send(record, now))
-            .map(|record| self.candidate(service, record, ask, home.as_deref(), now));
-        let best = candidates.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        let Some(best) = best else { return Err(PlacementRefusal::NoTarget) };
-        let objective = ask.objective.as_secs_f64();
-        let is_late = best.expected > ask.time_left.as_secs_f64() * USABLE_TIME;
-        if is_late || best.wait > objective * wait_part(ask.priority) {
-            return Err(PlacementRefusal::Busy { wait: Duration::from_secs_f64(best.wait) });
+        let best = cheapest(None).ok_or(PlacementRefusal::NoTarget)?;
+        let mut band = self.band.clone();
+        let best = match band.rule(best.is_outside, now) {
+            SpillRule::Free => best,
+            SpillRule::Inside => cheapest(Some(false)).unwrap_or(best),
+            SpillRule::Outside => {
+                cheapest(Some(true)).filter(|other| is_worth_it(other, ask)).unwrap_or(best)
+            }
+        };
+        if !is_worth_it(&best, ask) {
+            let wait = Duration::from_secs_f64(best.wait);
+            self.band = band;
+            return Err(PlacementRefusal::Busy { wait });
         }
+        band.placed(best.is_outside);
         let choice = PlacementChoice {
             target: best.record.entry.target.clone(),
             address: best.record.entry.address,
@@ -233,6 +261,7 @@
             wait: Duration::from_secs_f64(best.wait),
             expected: Duration::from_secs_f64(best.expected),
         };
+        self.band = band;
         self.start(&choice.target, ask.key, now);
         Ok(choice)
     }
@@ -256,10 +285,11 @@
             AttemptEnd::Answered { time } => {
                 record.track.faults.succeeded(now);
                 let times = self.times.entry(route.clone()).or_default();
-                times.measured(time, choice.is_warm, record.track.speed);
+                let work = time.saturating_sub(choice.wait);
+                times.measured(work, choice.is_warm, record.track.speed);
                 record.track.measured(time, choice.expected.as_secs_f64());
                 if let Some(service) = self.services.get_mut(&record.entry.service) {
-                    service.add_busy(time);
+                    service.add_busy(work);
                 }
             }
             AttemptEnd::Failed => record.track.faults.failed(now),
@@ -297,24 +327,48 @@
             && !self.closed.contains(&record.entry.failure_domain)
     }
 
-    /// The target that hosts of this failure domain send an object to: the one with the highest score among the nearest.
-    fn home_of(&self, ask: &PlacementAsk<'_>, key: u64) -> Option<TargetId> {
-        let service = self.services.get(ask.service)?;
-        service
+    /// Targets that may run a request, with what they cost it. In a busy service the work itself costs the more, as each
+    /// slot that runs a cold object is lost to several warm ones.
+    fn candidates<'a>(&'a self, ask: &PlacementAsk<'_>, now: Instant) -> Vec<Candidate<'a>> {
+        let Some(service) = self.services.get(ask.service) else { return Vec::new() };
+        let records: Vec<&TargetRecord> = service
             .targets
             .iter()
             .filter_map(|name| self.targets.get(name))
             .filter(|record| self.takes_requests(record) && is_allowed(record, ask))
-            .max_by_key(|record| (self.nearness(record), mix(record.salt, key)))
-            .map(|record| record.entry.target.clone())
+            .collect();
+        let ranks = ask.key.map(|key| self.rank(&records, key)).unwrap_or_default();
+        let (load, slots) = records.iter().fold((0.0, 0.0), |(load, slots), record| {
+            let own = f64::from(record.entry.slots);
+            (load + record.track.load(record.entry.slots, now).min(own), slots + own)
+        });
+        let pressure = if slots > 0.0 { load / slots } else { 0.0 };
+        let mut candidates = Vec::with_capacity(records.len());
+        for (index, record) in records.iter().enumerate() {
+            if ask.excluded.contains(&record.entry.target) || !may_send(record, now) {
+                continue;
+            }
+            let is_warm = ask.key.is_some_and(|key| record.track.warm_keys.contains(key, now));
+            let warmth = if is_warm { KNOWN_WARMTH } else { ranks.warmth(index) };
+            let mut candidate = self.candidate(service, record, ask, warmth, now);
+            candidate.is_warm = is_warm;
+            candidate.cost += pressure * candidate.work;
+            candidates.push(candidate);
+        }
+        candidates
     }
 
-    fn nearness(&self, record: &TargetRecord) -> u8 {
-        match &record.entry {
-            entry if entry.failure_domain == self.own.failure_domain => 2,
-            entry if entry.region == self.own_region => 1,
-            _ => 0,
+    /// Ranks targets for an object by scores that are the same on all hosts.
+    fn rank(&self, records: &[&TargetRecord], key: u64) -> KeyRanks {
+        let mut ranks = KeyRanks::default();
+        for (index, record) in records.iter().enumerate() {
+            let score = mix(record.salt, key);
+            match record.entry.region == self.own_region {
+                true => insert_rank(&mut ranks.near, (score, index)),
+                false => insert_rank(&mut ranks.far, (score, index)),
+            }
         }
+        ranks
     }
 
     fn candidate<'a>(
@@ -322,31 +376,32 @@
         service: &ServiceRecord,
         record: &'a TargetRecord,
         ask: &PlacementAsk<'_>,
-        home: Option<&str>,
+        warmth: f64,
         now: Instant,
     ) -> Candidate<'a> {
         let track = &record.track;
-        let is_warm = ask.key.is_some_and(|key| track.warm_keys.contains(key, now));
-        let warmth = match is_warm {
-            true => KNOWN_WARMTH,
-            false if home == Some(&*record.entry.target) => HOME_WARMTH,
-            false => OTHER_WARMTH,
-        };
         let times = self.times.get(ask.route).copied().unwrap_or_default();
         let work = times.expected(warmth, ask.objective) * track.speed;
         let slots = record.entry.slots.max(1);
         let excess = (track.load(slots, now) + 1.0 - f64::from(slots)).max(0.0);
         let busy = service.busy_seconds.unwrap_or(work) * track.speed;
         let wait = excess / f64::from(slots) * busy;
-        let distance = match self.nearness(record) {
-            2 => 0.0,
-            1 => OTHER_DOMAIN_COST,
-            _ => OTHER_REGION_COST,
+        let is_outside = record.entry.region != self.own_region;
+        let (trip, distance) = match is_outside {
+            true => (OTHER_REGION_TRIP, OTHER_REGION_COST),
+            false if record.entry.failure_domain == self.own.failure_domain => (0.0, 0.0),
+            false => (0.0, OTHER_DOMAIN_COST),
         };
-        let expected = work + wait;
-        let faults = track.faults.share(now);
-        let cost = expected + distance + faults * ask.objective.as_secs_f64() * 2.0;
-        Candidate { record, wait, expected, cost, is_warm }
+        let faults = track.faults.share(now) * ask.objective.as_secs_f64() * FAULT_COST;
+        Candidate {
+            record,
+            wait,
+            work,
+            expected: work + wait + trip,
+            cost: work + wait + distance + faults,
+            is_warm: false,
+            is_outside,
+        }
     }
 
     /// Gives the hosts nearest to each target, the same on all hosts, their parts of its cold rate.
@@ -395,8 +450,36 @@
     record.may_send_cold && pass.level() >= MICRO_TOKENS
 }
 
-fn wait_part(priority: u32) -> f64 {
-    (MAX_WAIT_PART - WAIT_PART_PER_RANK * f64::from(priority)).max(MIN_WAIT_PART)
+/// Whether a request is run at all: its answer is expected in time, or it takes a slot that nobody waits for.
+fn is_worth_it(candidate: &Candidate<'_>, ask: &PlacementAsk<'_>) -> bool {
+    let objective = ask.objective.as_secs_f64();
+    let less = PART_PER_RANK * f64::from(ask.priority);
+    let part = |most: f64| (most - less).max(MIN_PART) * objective;
+    let is_timely = candidate.expected <= part(TIMELY_PART);
+    let is_hopeless = candidate.expected > ask.time_left.as_secs_f64() * USABLE_TIME;
+    !is_hopeless && (is_timely || candidate.wait <= part(LATE_WAIT_PART))
+}
+
+impl KeyRanks {
+    /// Likelihood that the object is warm on the target with an index.
+    fn warmth(&self, index: usize) -> f64 {
+        let place = |ranks: &[(u64, usize)], warmth: &[f64]| {
+            let found = ranks.iter().position(|(score, at)| *score > 0 && *at == index);
+            found.and_then(|rank| warmth.get(rank).copied())
+        };
+        place(&self.near, &NEAR_WARMTH)
+            .or_else(|| place(&self.far, &FAR_WARMTH))
+            .unwrap_or(OTHER_WARMTH)
+    }
+}
+
+/// Puts a score among the highest, best first.
+fn insert_rank(ranks: &mut [(u64, usize)], mut entry: (u64, usize)) {
+    for rank in ranks {
+        if entry.0 > rank.0 {
+            std::mem::swap(rank, &mut entry);
+        }
+    }
 }
 
 /// Mixes two hashes into one (the finalizer of SplitMix64).
