Stand-ins for the platform's store and targets; entry hosts tested against them

31 cases over real sockets: what callers get from each fault of a target, how hosts learn of changes (dropped history, deaf watches, outage, cut of one host, no store at all), look-ups, leaving. 22 cases of the adapter.

--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -1,1 +1,168 @@
 //! Tests of the adapter.
+
+use std::time::Duration;
+
+use coordination::fleet::TargetLoad;
+use coordination::fleet::TargetState;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use indexmap::IndexMap;
+use serde_json::Value;
+use serde_json::json;
+
+use super::WireDialect;
+use super::decode_configuration;
+use super::decode_target;
+use crate::interface::AnswerFacts;
+use crate::interface::CallerDialect;
+use crate::interface::TargetNotice;
+
+fn route(spec: Value) -> Value {
+    json!({ "version": "0000000c", "resources": [
+        { "resource_kind": "routes", "metadata": { "name": "r" }, "spec": spec }
+    ]})
+}
+
+fn target() -> Value {
+    json!({
+        "address": "10.0.0.9:80",
+        "born": 5,
+        "info": { "backend_service": "s", "zone": "north-a", "slots": 6 },
+        "status": { "state": "ready", "sequence": 4, "cold_remaining_ms": 1_500 },
+    })
+}
+
+macro_rules! broken_configurations {
+    ($($name:ident: $document:expr => $reason:literal;)*) => {
+        $(#[test] fn $name() {
+            let reason = decode_configuration(&$document).unwrap_err();
+            assert!(reason.contains($reason), "{reason}");
+        })*
+    };
+}
+
+broken_configurations! {
+    a_version_of_another_type_is_named: json!({ "version": 7, "resources": [] }) => "version";
+    a_route_without_host_is_named: route(json!({ "path_prefix": "/", "route_type": "upload" })) => "r: .: missing field `hostname`";
+    a_route_without_service_is_named:
+        route(json!({ "hostname": "h", "path_prefix": "/", "route_type": "upload" })) => "r: the route names no service";
+    a_negative_timeout_is_named: route(json!({
+        "hostname": "h", "path_prefix": "/", "route_type": "upload", "timeout_ms": -1, "backend_service": "s"
+    })) => "r: timeout_ms";
+}
+
+macro_rules! bad_targets {
+    ($($name:ident: $path:literal = $value:expr => $reason:literal;)*) => {
+        $(#[test] fn $name() {
+            let mut entry = target();
+            *entry.pointer_mut($path).unwrap() = $value;
+            let regions = IndexMap::from([("north-a".into(), "north".into())]);
+            let reason = decode_target("i", &entry, &regions).unwrap_err();
+            assert!(reason.contains($reason), "{reason}");
+        })*
+    };
+}
+
+bad_targets! {
+    an_address_that_is_none_is_named: "/address" = json!("here") => "address";
+    a_start_that_is_no_whole_number_is_named: "/born" = json!(1.5) => "born";
+    an_unknown_state_is_named: "/status/state" = json!("asleep") => "status.state: `asleep`";
+    an_unknown_domain_is_named: "/info/zone" = json!("south") => "info.zone: `south`";
+    no_slots_are_named: "/info/slots" = json!(0) => "info.slots";
+    slots_of_another_type_are_named: "/info/slots" = json!("6") => "info.slots";
+    a_status_of_another_type_is_named: "/status" = json!([]) => "status";
+}
+
+#[test]
+fn only_what_is_idempotent_may_be_repeated() {
+    for (kind, may_repeat) in
+        [("idempotent", true), ("non_idempotent", false), ("upload", false), ("new", false)]
+    {
+        let document = route(json!({
+            "hostname": "H.Example", "path_prefix": "/p/", "route_type": kind, "backend_service": "s"
+        }));
+        let configuration = decode_configuration(&document).unwrap();
+        let found = configuration.route_for("h.example", "/p/1").unwrap();
+        assert_eq!(found.is_repeatable, may_repeat, "{kind}");
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let spec = |prefix: &str, service: &str| {
+        json!({ "resource_kind": "routes", "metadata": { "name": service }, "spec": {
+            "hostname": "h", "path_prefix": prefix, "route_type": "idempotent", "backend_service": service
+        }})
+    };
+    let document =
+        json!({ "version": "1", "resources": [spec("/a/", "short"), spec("/a/b/", "long")] });
+    let configuration = decode_configuration(&document).unwrap();
+    assert_eq!(&*configuration.route_for("h", "/a/b/c").unwrap().name, "long");
+    assert_eq!(&*configuration.route_for("h", "/a/c").unwrap().name, "short");
+    assert!(configuration.route_for("h", "/a").is_none());
+}
+
+#[test]
+fn a_targets_entry_is_read_whole() {
+    let regions = IndexMap::from([("north-a".into(), "north".into())]);
+    let entry = decode_target("i", &target(), &regions).unwrap();
+    assert_eq!((entry.slots, entry.state, entry.started_at), (6, TargetState::Ready, 5));
+    assert_eq!((&*entry.region, entry.cold_for), ("north", Duration::from_millis(1_500)));
+}
+
+#[test]
+fn the_key_is_taken_out_and_the_customer_set() {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-credential", HeaderValue::from_static("secret"));
+    headers.insert("x-tenant-name", HeaderValue::from_static("forged"));
+    let time_left = Duration::from_millis(700);
+    let notice = TargetNotice { target: "i", customer: None, time_left };
+    WireDialect.notify_target(&mut headers, &notice);
+    assert_eq!(headers.len(), 2);
+    assert_eq!(
+        (&headers["x-target-instance"], &headers["x-request-deadline"]),
+        (&"i".parse().unwrap(), &"700".parse().unwrap())
+    );
+}
+
+macro_rules! answers {
+    ($($name:ident: $status:literal, $headers:expr => $facts:expr;)*) => {
+        $(#[test] fn $name() {
+            let mut builder = Response::builder().status($status);
+            let headers: &[(&str, &str)] = &$headers;
+            for (name, value) in headers {
+                builder = builder.header(*name, *value);
+            }
+            let (parts, ()) = builder.body(()).unwrap().into_parts();
+            assert_eq!(WireDialect.answer_facts(&parts), $facts);
+        })*
+    };
+}
+
+answers! {
+    an_answer_without_headers_says_nothing: 200, [] => AnswerFacts::default();
+    a_load_is_read: 200, [("x-server-load", "3, 0,8")] =>
+        AnswerFacts { load: Some(TargetLoad { running: 3, waiting: 0, slots: 8 }), ..AnswerFacts::default() };
+    a_load_that_is_none_is_left_out: 200, [("x-server-load", "3,-1,8")] => AnswerFacts::default();
+    a_refusal_of_another_target_is_told: 421, [] =>
+        AnswerFacts { is_other_target: true, ..AnswerFacts::default() };
+    an_idle_time_is_read: 200, [("keep-alive", "max=5, timeout=7")] =>
+        AnswerFacts { keeps_idle: Some(Duration::from_secs(7)), ..AnswerFacts::default() };
+}
+
+#[test]
+fn a_look_up_is_read_and_answered() {
+    let uri = "/resolve?name=a.example&region=north%20west&zone=north-a".parse().unwrap();
+    let ask = WireDialect.look_up(&uri).unwrap();
+    assert_eq!((&*ask.region, &*ask.failure_domain), ("north west", "north-a"));
+    assert_eq!(WireDialect.look_up(&"/other".parse().unwrap()), None);
+    let answer =
+        WireDialect.look_up_answer(&["10.0.0.1:80".parse().unwrap()], Duration::from_secs(2));
+    assert_eq!(answer, r#"{"addresses":["10.0.0.1:80"],"ttl_s":2.0}"#);
+}
+
+#[test]
+fn a_pause_keeps_its_fractions() {
+    assert_eq!(WireDialect.pause(Duration::from_millis(125)), "0.125");
+}
--- /dev/null
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -0,0 +1,216 @@
+//! Entry hosts, a store and targets on loopback addresses.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornturn::document::EntryDocument;
+use buckthornturn::entry::EntryParts;
+use buckthornturn::entry::EntryProcess;
+use buckthornturn::entry::GuardedDialer;
+use buckthornturn::platform::StoreSource;
+use buckthornturn::platform::WireDialect;
+use buckthornturn::settings::EntrySettings;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use standin::platform::PlatformStore;
+use standin::platform::PlatformTarget;
+use tokio::net::TcpStream;
+
+/// Longest wait for something that should happen; far above what any check needs.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A store, targets of one service and entry hosts.
+pub struct EntryFleet {
+    pub store: PlatformStore,
+    pub targets: Vec<PlatformTarget>,
+    pub hosts: Vec<EntryProcess>,
+    pub ports: Vec<HostPorts>,
+}
+
+/// Addresses of one host.
+#[derive(Clone, Copy, Debug)]
+pub struct HostPorts {
+    pub callers: SocketAddr,
+    pub look_ups: SocketAddr,
+    pub readiness: SocketAddr,
+    pub mesh: SocketAddr,
+}
+
+impl EntryFleet {
+    /// Starts a store with a configuration, targets and hosts, and waits until the hosts are ready.
+    pub async fn start(hosts: usize, targets: usize) -> Self {
+        let store = PlatformStore::start().await.unwrap();
+        store.put("config", "main", configuration("00000001", &["key-1"], 1_000.0));
+        let mut fleet = Self { store, targets: Vec::new(), hosts: Vec::new(), ports: Vec::new() };
+        for number in 0..targets {
+            let target = PlatformTarget::start(&format!("i-{number}")).await.unwrap();
+            fleet.store.put("servers", target.name(), target.entry("pages", "north-a"));
+            fleet.targets.push(target);
+        }
+        for number in 0..hosts {
+            fleet.start_host(number, fleet.store.address()).await;
+        }
+        for host in 0..hosts {
+            fleet.until("ready", async || fleet.is_ready(host).await).await;
+        }
+        fleet
+    }
+
+    /// Starts one more host whose store has an address.
+    pub async fn start_host(&mut self, number: usize, store: SocketAddr) {
+        let ports = free_ports();
+        let seeds: Vec<_> = self.ports.iter().map(|ports| ports.mesh).collect();
+        let settings = settings(number, &ports, store, &seeds);
+        let source = StoreSource::new(store, settings.domains.clone(), Arc::new(GuardedDialer));
+        let parts = EntryParts { source: Arc::new(source), dialect: Arc::new(WireDialect) };
+        self.hosts.push(EntryProcess::start(settings, parts).await.unwrap());
+        self.ports.push(ports);
+    }
+
+    /// Whether a host says that it is ready.
+    pub async fn is_ready(&self, host: usize) -> bool {
+        get(self.ports[host].readiness, "/readiness").await.status() == 200
+    }
+
+    /// Waits until a check holds.
+    pub async fn until(&self, what: &str, check: impl AsyncFn() -> bool) {
+        let wait = async {
+            while !check().await {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+    }
+
+    /// Sends a request of a caller to a host.
+    pub async fn ask(&self, host: usize, call: CallerCall) -> Response<Bytes> {
+        send(self.ports[host].callers, call.request()).await.expect("an answer")
+    }
+
+    /// Number of requests that all targets ran.
+    pub fn runs(&self) -> usize {
+        self.targets.iter().map(|target| target.runs().len()).sum()
+    }
+}
+
+/// A request of a caller.
+pub struct CallerCall {
+    pub method: &'static str,
+    pub path: &'static str,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Bytes,
+}
+
+impl CallerCall {
+    /// A request with a good key that may be repeated.
+    pub fn page() -> Self {
+        let attempt = format!("{:016x}", rand::random::<u64>());
+        let headers = vec![
+            ("host", "pages.example".to_owned()),
+            ("x-attempt-id", attempt),
+            ("x-request-deadline", "2000".to_owned()),
+            ("x-credential", "key-1".to_owned()),
+            ("x-affinity-key", "17".to_owned()),
+        ];
+        Self { method: "GET", path: "/pages/1?a=b", headers, body: Bytes::new() }
+    }
+
+    /// A request with a good key that may not be repeated.
+    pub fn payment() -> Self {
+        Self { method: "POST", path: "/payments/1", body: "amount".into(), ..Self::page() }
+    }
+
+    /// The same with another value of a header.
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.retain(|header| header.0 != name);
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// The same with another path.
+    pub fn to(self, path: &'static str) -> Self {
+        Self { path, ..self }
+    }
+
+    fn request(self) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder().method(self.method).uri(self.path);
+        for (name, value) in &self.headers {
+            builder = builder.header(*name, value);
+        }
+        builder.body(Full::new(self.body)).unwrap()
+    }
+}
+
+/// A configuration with a route of pages, one of payments and one customer.
+pub fn configuration(version: &str, keys: &[&str], rate: f64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({ "resource_kind": "routes", "metadata": { "name": name }, "spec": {
+            "hostname": "pages.example", "path_prefix": prefix, "route_type": kind, "timeout_ms": 1_000,
+            "target_latency_ms": 250, "priority": 1, "backend_service": "pages", "max_attempts": 2,
+            "public": false, "session_affinity": true, "allowed_regions": [],
+        }})
+    };
+    json!({ "version": version, "resources": [
+        route("pages", "/pages/", "idempotent"),
+        route("payments", "/payments/", "non_idempotent"),
+        { "resource_kind": "services", "metadata": { "name": "pages" }, "spec": {
+            "health_check_path": "/health", "max_connections": 100, "cold_start_s": 3.0, "cold_per_s": 9.0,
+        }},
+        { "resource_kind": "tenants", "metadata": { "name": "parish" }, "spec": {
+            "api_keys": keys, "rate_per_s": rate, "burst": rate, "allowed_regions": [],
+        }},
+        { "resource_kind": "limits", "metadata": {}, "spec": { "max_body_bytes": 100_000 }},
+    ]})
+}
+
+fn settings(
+    number: usize,
+    ports: &HostPorts,
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+) -> EntrySettings {
+    let text = json!({
+        "host": format!("host-{number}"),
+        "failure_domain": "north-a",
+        "region": "north",
+        "domains": { "north-a": "north", "south-a": "south" },
+        "listeners": {
+            "callers": ports.callers, "look_ups": ports.look_ups,
+            "readiness": ports.readiness, "mesh": ports.mesh,
+        },
+        "platform": { "store": store },
+        "seeds": seeds,
+        "bounds": { "retry_ratio": 0.2, "look_up_life_seconds": 5, "shutdown_seconds": 3 },
+    });
+    EntryDocument::parse(&text.to_string()).unwrap()
+}
+
+fn free_ports() -> HostPorts {
+    let listeners: Vec<_> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let address = |at: usize| listeners[at].local_addr().unwrap();
+    HostPorts { callers: address(0), look_ups: address(1), readiness: address(2), mesh: address(3) }
+}
+
+/// Asks for a path.
+pub async fn get(address: SocketAddr, path: &str) -> Response<Bytes> {
+    let request = Request::get(path).header("host", "x").body(Full::default()).unwrap();
+    send(address, request).await.expect("an answer")
+}
+
+/// Sends a request on a connection of its own; `None` if no whole answer comes.
+pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Response<Bytes>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+    Some(Response::from_parts(parts, body.collect().await.ok()?.to_bytes()))
+}
--- /dev/null
+++ b/crates/buckthornturn/tests/platform/requests.rs
@@ -0,0 +1,82 @@
+//! What callers get, target by target fault.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standin::platform::TargetMode;
+
+use crate::entry_fleet::CallerCall;
+use crate::entry_fleet::EntryFleet;
+
+macro_rules! statuses {
+    ($($name:ident: $call:expr, $mode:ident on $faulty:literal of $targets:literal => $status:literal, ran $runs:literal;)*) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                let fleet = EntryFleet::start(1, $targets).await;
+                for target in &fleet.targets[..$faulty] {
+                    target.set_mode(TargetMode::$mode);
+                }
+                let answer = fleet.ask(0, $call).await;
+                assert_eq!(answer.status(), $status, "{answer:?}");
+                let runs = fleet.runs();
+                assert_eq!(runs, $runs, "runs");
+            }
+        )*
+    };
+}
+
+statuses! {
+    a_page_is_served: CallerCall::page(), Sound on 1 of 1 => 200, ran 1;
+    a_payment_is_served: CallerCall::payment(), Sound on 1 of 1 => 200, ran 1;
+    an_unknown_key_is_refused: CallerCall::page().with("x-credential", "other"), Sound on 1 of 1 => 401, ran 0;
+    a_path_without_route_is_refused: CallerCall::page().to("/nothing/"), Sound on 1 of 1 => 404, ran 0;
+    a_host_without_route_is_refused: CallerCall::page().with("host", "other.example"), Sound on 1 of 1 => 404, ran 0;
+    a_body_over_the_limit_is_refused: CallerCall { body: vec![0; 100_001].into(), ..CallerCall::payment() }, Sound on 1 of 1 => 413, ran 0;
+    a_shed_page_is_not_run: CallerCall::page(), Sheds on 2 of 2 => 503, ran 0;
+    a_shed_payment_goes_to_the_next_target: CallerCall::payment(), Sheds on 1 of 2 => 200, ran 1;
+    a_payment_whose_answer_is_lost_is_not_sent_again: CallerCall::payment(), LosesAnswers on 2 of 2 => 502, ran 1;
+    a_page_whose_answers_are_lost_is_sent_twice: CallerCall::page(), LosesAnswers on 2 of 2 => 502, ran 2;
+    a_crossed_answer_is_never_passed_on: CallerCall::payment(), CrossesAnswers on 1 of 1 => 502, ran 1;
+    an_unsigned_success_is_never_passed_on: CallerCall::payment(), Unsigned on 1 of 1 => 502, ran 1;
+    a_replaced_target_runs_nothing: CallerCall::payment(), Replaced on 1 of 1 => 503, ran 0;
+    a_targets_own_failure_is_passed_on: CallerCall::payment(), Fails on 1 of 1 => 500, ran 1;
+    a_silent_target_ends_with_the_timeout: CallerCall::page(), Silent on 1 of 1 => 504, ran 0;
+}
+
+#[tokio::test]
+async fn a_target_gets_the_customer_and_never_the_key() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.ask(0, CallerCall::page().with("x-tenant-name", "forged")).await;
+    let runs = fleet.targets[0].runs();
+    let headers = &runs[0].headers;
+    assert_eq!(headers["x-tenant-name"], "parish");
+    assert_eq!(headers["x-target-instance"], "i-0");
+    assert!(!headers.contains_key("x-credential"));
+    let left: u64 = headers["x-request-deadline"].to_str().unwrap().parse().unwrap();
+    assert!((1..=2_000).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn a_refusal_for_the_rate_says_when_to_return() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.put("config", "main", crate::entry_fleet::configuration("2", &["key-1"], 1.0));
+    fleet
+        .until("a refusal for the rate", async || {
+            let answer = fleet.ask(0, CallerCall::page()).await;
+            answer.status() == 429 && answer.headers().contains_key("retry-after")
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.targets[0].set_mode(TargetMode::Silent);
+    let call = fleet.ask(0, CallerCall::page());
+    assert!(tokio::time::timeout(Duration::from_millis(200), call).await.is_err());
+    fleet.targets[0].set_mode(TargetMode::Sound);
+    let started_at = Instant::now();
+    assert_eq!(fleet.ask(0, CallerCall::page()).await.status(), 200);
+    assert!(started_at.elapsed() < Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/buckthornturn/tests/platform/state.rs
@@ -0,0 +1,180 @@
+//! How hosts learn what is in force, and how they leave.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use standin::platform::PlatformStore;
+use standin::platform::StoreFault;
+
+use crate::entry_fleet::CallerCall;
+use crate::entry_fleet::EntryFleet;
+use crate::entry_fleet::configuration;
+use crate::entry_fleet::get;
+
+/// The least of the platform's bounds on a change: 2 s for a configuration.
+const APPLY_BOUND: Duration = Duration::from_secs(2);
+
+async fn status_soon(fleet: &EntryFleet, host: usize, status: u16) -> Duration {
+    let started_at = Instant::now();
+    fleet
+        .until("the status expected", async || {
+            fleet.ask(host, CallerCall::page()).await.status() == status
+        })
+        .await;
+    started_at.elapsed()
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_within_the_bound() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.put("config", "main", configuration("00000002", &["key-2"], 1_000.0));
+    assert!(status_soon(&fleet, 0, 401).await < APPLY_BOUND);
+}
+
+#[tokio::test]
+async fn a_change_whose_history_is_dropped_is_learned_within_the_bound() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.set_fault(StoreFault::Reset);
+    fleet.store.put("config", "main", configuration("00000002", &["key-2"], 1_000.0));
+    fleet.store.compact();
+    fleet.store.set_fault(StoreFault::None);
+    assert!(status_soon(&fleet, 0, 401).await < APPLY_BOUND);
+}
+
+/// A watch over a compacted history may stay silent to its end; the host that looks out for its region waits briefly.
+#[tokio::test]
+async fn a_change_that_watches_do_not_hear_of_is_learned_within_the_bound() {
+    let fleet = EntryFleet::start(2, 1).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.store.set_fault(StoreFault::DeafWatches);
+    fleet.store.put("config", "main", configuration("00000002", &["key-2"], 1_000.0));
+    fleet.store.compact();
+    assert!(status_soon(&fleet, 0, 401).await < APPLY_BOUND);
+    assert!(status_soon(&fleet, 1, 401).await < APPLY_BOUND);
+}
+
+#[tokio::test]
+async fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.put("config", "main", json!({ "version": 7 }));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(fleet.ask(0, CallerCall::page()).await.status(), 200);
+}
+
+#[tokio::test]
+async fn a_bad_entry_of_a_target_leaves_the_others() {
+    let fleet = EntryFleet::start(1, 2).await;
+    let mut bad = fleet.targets[0].entry("pages", "north-a");
+    bad["status"]["state"] = json!("asleep");
+    fleet.store.put("servers", "i-0", bad);
+    fleet
+        .until("only the other target is asked", async || {
+            let before = fleet.targets[0].runs().len();
+            for _ in 0..5 {
+                fleet.ask(0, CallerCall::page()).await;
+            }
+            fleet.targets[0].runs().len() == before
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_closed_domain_gets_nothing_until_it_is_opened() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.put("evacuations", "north-a", json!({}));
+    assert!(status_soon(&fleet, 0, 503).await < APPLY_BOUND);
+    fleet.store.remove("evacuations", "north-a");
+    status_soon(&fleet, 0, 200).await;
+}
+
+#[tokio::test]
+async fn a_target_that_leaves_gets_nothing_within_the_bound() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.remove("servers", "i-0");
+    assert!(status_soon(&fleet, 0, 503).await < APPLY_BOUND);
+}
+
+#[tokio::test]
+async fn an_entry_that_lapsed_while_the_store_was_away_is_kept_for_its_return() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.store.remove("servers", "i-0");
+    fleet.store.set_fault(StoreFault::None);
+    for _ in 0..10 {
+        assert_eq!(fleet.ask(0, CallerCall::page()).await.status(), 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(status_soon(&fleet, 0, 503).await < Duration::from_secs(4));
+}
+
+/// A host that is cut off alone must not take a target that is gone for one that may come back.
+#[tokio::test]
+async fn a_host_that_is_cut_off_alone_drops_a_target_that_is_gone() {
+    let mut fleet = EntryFleet::start(1, 1).await;
+    let cut_off = PlatformStore::start().await.unwrap();
+    cut_off.put("config", "main", configuration("00000001", &["key-1"], 1_000.0));
+    cut_off.put("servers", "i-0", fleet.targets[0].entry("pages", "north-a"));
+    fleet.start_host(1, cut_off.address()).await;
+    fleet.until("ready", async || fleet.is_ready(1).await).await;
+    cut_off.set_fault(StoreFault::Reset);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.store.remove("servers", "i-0");
+    cut_off.remove("servers", "i-0");
+    cut_off.set_fault(StoreFault::None);
+    assert!(status_soon(&fleet, 1, 503).await < APPLY_BOUND);
+}
+
+#[tokio::test]
+async fn a_host_without_a_store_learns_all_from_another_host() {
+    let mut fleet = EntryFleet::start(1, 1).await;
+    let silent = PlatformStore::start().await.unwrap();
+    silent.set_fault(StoreFault::Busy);
+    fleet.start_host(1, silent.address()).await;
+    fleet.until("ready", async || fleet.is_ready(1).await).await;
+    assert_eq!(fleet.ask(1, CallerCall::page()).await.status(), 200);
+    fleet.store.put("config", "main", configuration("00000002", &["key-2"], 1_000.0));
+    assert!(status_soon(&fleet, 1, 401).await < Duration::from_secs(5));
+}
+
+#[tokio::test]
+async fn an_idle_host_makes_few_calls() {
+    let fleet = EntryFleet::start(1, 1).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = fleet.store.calls();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 15, "{calls} calls in 4 s");
+}
+
+#[tokio::test]
+async fn look_ups_name_hosts_until_they_leave() {
+    let mut fleet = EntryFleet::start(2, 1).await;
+    let path = "/resolve?name=pages.example&region=north&zone=north-a";
+    let named = async |fleet: &EntryFleet| -> usize {
+        let answer = get(fleet.ports[0].look_ups, path).await;
+        let body: Value = serde_json::from_slice(answer.body()).unwrap();
+        body["addresses"].as_array().map_or(0, Vec::len)
+    };
+    fleet.until("both hosts are named", async || named(&fleet).await == 2).await;
+    let leaving = fleet.hosts.pop().unwrap();
+    let end = tokio::spawn(leaving.shutdown());
+    fleet.until("one host is named", async || named(&fleet).await == 1).await;
+    assert!(end.await.unwrap());
+}
+
+#[tokio::test]
+async fn a_host_that_leaves_is_not_ready_and_still_serves() {
+    let mut fleet = EntryFleet::start(1, 1).await;
+    let leaving = fleet.hosts.pop().unwrap();
+    let end = tokio::spawn(leaving.shutdown());
+    fleet.until("not ready", async || !fleet.is_ready(0).await).await;
+    let answer = fleet.ask(0, CallerCall::payment()).await;
+    assert_eq!(
+        (answer.status().as_u16(), &answer.headers()["connection"]),
+        (200, &"close".parse().unwrap())
+    );
+    assert!(end.await.unwrap());
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod log_output;
 pub mod measure;
 pub mod network;
+pub mod platform;
 pub mod report_table;
 mod run;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/platform/platform_store.rs
@@ -0,0 +1,222 @@
+//! The platform's store of objects: lists in pages, watches, history that can be dropped, faults.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::http_server::AnswerWithheld;
+use crate::http_server::HttpServer;
+use crate::http_server::ServerBody;
+use crate::http_server::ServerResult;
+use crate::http_server::json_answer;
+use crate::http_server::plain_answer;
+use crate::http_server::query_number;
+use crate::http_server::query_value;
+
+/// Objects in one page of a list.
+const PAGE: usize = 3;
+/// Most changes that are kept for watches.
+const MAX_EVENTS: usize = 10_000;
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It closes connections without an answer.
+    Reset,
+    /// Watches hear of nothing until their wait ends; reads work.
+    DeafWatches,
+}
+
+#[derive(Default)]
+struct StoreTable {
+    revision: u64,
+    objects: IndexMap<(Box<str>, Box<str>), Value>,
+    events: VecDeque<(u64, Box<str>, Value)>,
+    history_from: u64,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// A running store.
+pub struct PlatformStore {
+    table: Arc<Mutex<StoreTable>>,
+    changed: watch::Sender<u64>,
+    server: HttpServer,
+}
+
+impl PlatformStore {
+    /// Starts an empty store on a loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start() -> io::Result<Self> {
+        let table = Arc::<Mutex<StoreTable>>::default();
+        let changed = watch::Sender::new(0);
+        let (known, changes) = (Arc::clone(&table), changed.subscribe());
+        let handler =
+            move |request: Request<Incoming>| serve(Arc::clone(&known), changes.clone(), request);
+        let server = HttpServer::start(([127, 0, 0, 1], 0).into(), handler).await?;
+        Ok(Self { table, changed, server })
+    }
+
+    /// Address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Writes an object's `spec`; returns its revision.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        let mut table = lock(&self.table);
+        table.revision += 1;
+        let revision = table.revision;
+        let object = json!({
+            "metadata": { "name": name, "revision": revision, "finalizers": [], "deleting": false },
+            "spec": spec,
+            "status": null,
+        });
+        table.objects.insert((kind.into(), name.into()), object.clone());
+        table.note(kind, json!({ "deleted": false, "object": object }));
+        drop(table);
+        self.changed.send_replace(revision);
+        revision
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut table = lock(&self.table);
+        let Some(mut object) = table.objects.shift_remove(&(kind.into(), name.into())) else {
+            return;
+        };
+        table.revision += 1;
+        let revision = table.revision;
+        object["metadata"]["revision"] = revision.into();
+        table.note(kind, json!({ "deleted": true, "object": object }));
+        drop(table);
+        self.changed.send_replace(revision);
+    }
+
+    /// Drops the history; watches from before now get 410.
+    pub fn compact(&self) {
+        let mut table = lock(&self.table);
+        table.events.clear();
+        table.history_from = table.revision + 1;
+    }
+
+    /// Sets how the store misbehaves; waiting watches are cut.
+    pub fn set_fault(&self, fault: StoreFault) {
+        let mut table = lock(&self.table);
+        table.fault = fault;
+        let revision = table.revision;
+        drop(table);
+        self.changed.send_replace(revision);
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.table).calls
+    }
+}
+
+impl StoreTable {
+    fn note(&mut self, kind: &str, event: Value) {
+        self.events.push_back((self.revision, kind.into(), event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+            self.history_from = self.events.front().map_or(self.revision, |event| event.0);
+        }
+    }
+
+    fn list(&self, kind: &str, after: &str) -> Value {
+        let mut names: Vec<_> = self.objects.keys().filter(|key| &*key.0 == kind).collect();
+        names.sort();
+        let mut rest = names.into_iter().filter(|key| &*key.1 > after);
+        let items: Vec<_> = rest.by_ref().take(PAGE).map(|key| &self.objects[key]).collect();
+        json!({ "items": items, "more": rest.next().is_some(), "current_rev": self.revision })
+    }
+
+    /// Events after a revision; `None` if that history is gone.
+    fn events_after(&self, kind: &str, after: u64) -> Option<Vec<&Value>> {
+        if after + 1 < self.history_from {
+            return None;
+        }
+        let events = self.events.iter().filter(|event| event.0 > after && &*event.1 == kind);
+        Some(events.map(|event| &event.2).collect())
+    }
+}
+
+async fn serve(
+    table: Arc<Mutex<StoreTable>>,
+    mut changes: watch::Receiver<u64>,
+    request: Request<Incoming>,
+) -> ServerResult {
+    lock(&table).calls += 1;
+    let kind: Box<str> = match request.uri().path().strip_prefix("/objects/") {
+        Some(kind) => kind.into(),
+        None => return Ok(plain_answer(StatusCode::NOT_FOUND, "no such path")),
+    };
+    let Some(after) = query_number(&request, "watch") else {
+        let table = lock(&table);
+        let after = query_value(&request, "after").unwrap_or_default();
+        return answer(table.fault, json_answer(&table.list(&kind, after)));
+    };
+    let wait = Duration::from_millis(query_number(&request, "wait_ms").unwrap_or(0));
+    let end = tokio::time::Instant::now() + wait;
+    loop {
+        changes.mark_unchanged();
+        {
+            let table = lock(&table);
+            let reply = table.events_after(&kind, after).map(|events| {
+                (!events.is_empty())
+                    .then(|| json!({ "events": events, "current_rev": table.revision }))
+            });
+            match reply {
+                _ if table.fault == StoreFault::DeafWatches => {}
+                _ if table.fault != StoreFault::None => {
+                    return answer(table.fault, plain_answer(StatusCode::OK, ""));
+                }
+                None => return Ok(plain_answer(StatusCode::GONE, "the history is gone")),
+                Some(Some(reply)) => return Ok(json_answer(&reply)),
+                Some(None) => {}
+            }
+        }
+        if tokio::time::timeout_at(end, changes.changed()).await.is_err() {
+            let table = lock(&table);
+            return Ok(match table.events_after(&kind, after) {
+                None => plain_answer(StatusCode::GONE, "the history is gone"),
+                Some(_) => json_answer(&json!({ "events": [], "current_rev": table.revision })),
+            });
+        }
+    }
+}
+
+fn answer(fault: StoreFault, response: Response<ServerBody>) -> ServerResult {
+    match fault {
+        StoreFault::None | StoreFault::DeafWatches => Ok(response),
+        StoreFault::Busy => Ok(plain_answer(StatusCode::SERVICE_UNAVAILABLE, "busy")),
+        StoreFault::Reset => Err(AnswerWithheld),
+    }
+}
+
+fn lock(table: &Mutex<StoreTable>) -> MutexGuard<'_, StoreTable> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/platform/platform_target.rs
@@ -0,0 +1,174 @@
+//! A target that speaks the platform's headers and can misbehave.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http_server::AnswerWithheld;
+use crate::http_server::HttpServer;
+use crate::http_server::ServerBody;
+use crate::http_server::ServerResult;
+use crate::http_server::whole_body;
+
+const WORK: Duration = Duration::from_millis(5);
+
+/// How a target answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TargetMode {
+    /// Whole and in time.
+    #[default]
+    Sound,
+    /// With a refusal that says that it did not run the request.
+    Sheds,
+    /// It runs the request and closes the connection without an answer.
+    LosesAnswers,
+    /// With the identifier of another request.
+    CrossesAnswers,
+    /// Without its signature.
+    Unsigned,
+    /// As another target that took over the address.
+    Replaced,
+    /// Never.
+    Silent,
+    /// With an error of its own.
+    Fails,
+}
+
+/// One request that a target ran.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// Identifier of the caller's attempt.
+    pub attempt: Box<str>,
+    /// Headers that came with it.
+    pub headers: HeaderMap,
+    /// Bytes of its body.
+    pub body_bytes: usize,
+}
+
+/// A running target.
+pub struct PlatformTarget {
+    name: Box<str>,
+    mode: Arc<Mutex<TargetMode>>,
+    runs: Arc<Mutex<Vec<RunRecord>>>,
+    server: HttpServer,
+}
+
+impl PlatformTarget {
+    /// Starts a sound target on a loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start(name: &str) -> io::Result<Self> {
+        let (mode, runs) = (Arc::default(), Arc::default());
+        let known = (Box::<str>::from(name), Arc::clone(&mode), Arc::clone(&runs));
+        let handler = move |request: Request<Incoming>| {
+            let (name, mode, runs) = known.clone();
+            async move {
+                let mode = *lock(&mode);
+                serve(&name, mode, &runs, request).await
+            }
+        };
+        let server = HttpServer::start(([127, 0, 0, 1], 0).into(), handler).await?;
+        Ok(Self { name: name.into(), mode, runs, server })
+    }
+
+    /// Address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// The entry that the target writes to the store.
+    pub fn entry(&self, service: &str, zone: &str) -> Value {
+        json!({
+            "address": self.address().to_string(),
+            "born": 1_700_000_000_000_u64,
+            "info": { "backend_service": service, "version": "v1", "zone": zone, "slots": 4 },
+            "status": { "state": "ready", "sequence": 1, "cold_remaining_ms": 0 },
+        })
+    }
+
+    /// Name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Sets how it answers.
+    pub fn set_mode(&self, mode: TargetMode) {
+        *lock(&self.mode) = mode;
+    }
+
+    /// Requests that it ran.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        lock(&self.runs).clone()
+    }
+}
+
+async fn serve(
+    name: &str,
+    mode: TargetMode,
+    runs: &Mutex<Vec<RunRecord>>,
+    request: Request<Incoming>,
+) -> ServerResult {
+    let headers = request.headers().clone();
+    let attempt = text(&headers, "x-attempt-id");
+    if mode == TargetMode::Silent {
+        std::future::pending::<()>().await;
+    }
+    if mode == TargetMode::Replaced || *text(&headers, "x-target-instance") != *name {
+        return Ok(reply(StatusCode::MISDIRECTED_REQUEST, &attempt, &[("x-instance-id", "other")]));
+    }
+    if mode == TargetMode::Sheds {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(reply(status, &attempt, &[("x-not-executed", "1"), ("x-server-load", "4,9,4")]));
+    }
+    let body = request.into_body().collect().await.map_err(|_| AnswerWithheld)?.to_bytes();
+    lock(runs).push(RunRecord { attempt: attempt.clone(), headers, body_bytes: body.len() });
+    tokio::time::sleep(WORK).await;
+    let signed = [("x-server-signature", "s"), ("x-server-load", "1,0,4")];
+    match mode {
+        TargetMode::LosesAnswers => Err(AnswerWithheld),
+        TargetMode::CrossesAnswers => Ok(reply(StatusCode::OK, "another", &signed)),
+        TargetMode::Unsigned => Ok(reply(StatusCode::OK, &attempt, &[])),
+        TargetMode::Fails => Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, &attempt, &signed)),
+        _ => Ok(reply(StatusCode::OK, &attempt, &signed)),
+    }
+}
+
+fn reply(
+    status: StatusCode,
+    attempt: &str,
+    headers: &[(&'static str, &'static str)],
+) -> Response<ServerBody> {
+    let mut response = Response::new(whole_body("answer"));
+    *response.status_mut() = status;
+    if let Ok(attempt) = HeaderValue::from_str(attempt) {
+        response.headers_mut().insert("x-attempt-id", attempt);
+    }
+    for (name, value) in headers {
+        response.headers_mut().insert(*name, HeaderValue::from_static(value));
+    }
+    response
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Box<str> {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
