--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -57,6 +57,8 @@
 /// Most connections of callers at once; within the descriptors of the smallest host with those to targets.
 const MAX_CONNECTIONS: usize = 3_000;
 
+const METRICS_PATH: &str = "/metrics";
+
 /// What an entry host is given by the platform that it runs on.
 pub struct EntryParts {
     /// Where it learns what is in force.
@@ -108,6 +110,10 @@
         tasks.spawn(serve_mesh(mesh_listener, Arc::clone(&state)));
         tasks.spawn(serve_look_ups(look_ups, Arc::clone(&state), Arc::clone(&parts.dialect)));
         tasks.spawn(serve_readiness(readiness, Arc::clone(&state), Arc::clone(&parts.dialect)));
+        if let Some(address) = state.settings().listeners.metrics {
+            let (metrics, _) = listen("metrics", address).await?;
+            tasks.spawn(serve_metrics(metrics, Arc::clone(&state)));
+        }
         let phase = watch::Sender::new(ServerPhase::Serving);
         let front = FrontService::new(Arc::clone(&state), parts.dialect, TargetPool::new(dialer));
         let callers = start_callers(callers_listener, front, phase.subscribe());
@@ -128,7 +134,7 @@
     /// Leaves look-ups, goes on serving while callers still come, and ends once all that runs is answered, or when the
     /// time is up. Returns whether everything was answered.
     pub async fn shutdown(self) -> bool {
-        let grace = self.state.settings().bounds.shutdown();
+        let grace = self.state.bounds().shutdown();
         let end = Instant::now() + grace.saturating_sub(END_MARGIN);
         info!("host leaves", kv: { host: = self.state.own().host, grace_ms = grace.as_millis() as u64 });
         self.state.leave();
@@ -186,6 +192,19 @@
     })
 }
 
+fn serve_metrics(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
+    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+        let answer = match (request.uri().path(), state.metrics().text(&state)) {
+            (METRICS_PATH, Ok(text)) => with_status(StatusCode::OK, text.into()),
+            (METRICS_PATH, Err(error)) => {
+                with_status(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into())
+            }
+            _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
+        };
+        async move { answer }
+    })
+}
+
 fn serve_look_ups(
     listener: TcpListener,
     state: Arc<EntryState>,
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use coordination::fleet::BoardHost;
 use coordination::fleet::EntryChange;
@@ -34,9 +35,11 @@
 use spdlog::info;
 
 use crate::entry::EntryConfiguration;
+use crate::entry::EntryMetrics;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
 use crate::interface::StatePart;
+use crate::settings::EntryBounds;
 use crate::settings::EntrySettings;
 
 /// Time for which a target whose entry vanished around an outage of the store may come back; the platform says that
@@ -121,6 +124,8 @@
 pub struct EntryState {
     own: EntryIdentity,
     settings: EntrySettings,
+    metrics: EntryMetrics,
+    bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
     core: Mutex<EntryCore>,
 }
@@ -144,8 +149,14 @@
             beat: 0,
             phase: HostPhase::Starting,
         };
-        let configuration = ArcSwapOption::empty();
-        Arc::new(Self { own, settings, configuration, core: Mutex::new(core) })
+        Arc::new(Self {
+            own,
+            metrics: EntryMetrics::default(),
+            bounds: ArcSwap::from_pointee(settings.bounds.clone()),
+            settings,
+            configuration: ArcSwapOption::empty(),
+            core: Mutex::new(core),
+        })
     }
 
     /// Names and addresses of this host.
@@ -153,11 +164,33 @@
         &self.own
     }
 
-    /// Settings.
+    /// Settings at the start.
     pub fn settings(&self) -> &EntrySettings {
         &self.settings
     }
 
+    /// Bounds in force; they follow the settings file.
+    pub fn bounds(&self) -> Arc<EntryBounds> {
+        self.bounds.load_full()
+    }
+
+    /// Puts other bounds in force.
+    pub fn set_bounds(&self, bounds: EntryBounds) {
+        self.bounds.store(Arc::new(bounds));
+    }
+
+    /// Metrics.
+    pub fn metrics(&self) -> &EntryMetrics {
+        &self.metrics
+    }
+
+    /// Numbers of other hosts heard lately and of targets known.
+    pub fn counts(&self) -> (u64, u64) {
+        let core = self.lock();
+        let hosts = core.roster.live(Instant::now()).count();
+        (hosts as u64, core.board.entries().count() as u64)
+    }
+
     /// Configuration in force; `None` until one is known.
     pub fn configuration(&self) -> Option<Arc<EntryConfiguration>> {
         self.configuration.load_full()
--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -31,9 +31,11 @@
 use crate::entry::AttemptRunner;
 use crate::entry::EntryJob;
 use crate::entry::EntryState;
+use crate::entry::RequestCount;
 use crate::entry::RequestFacts;
 use crate::entry::request_facts::asks_upgrade;
 use crate::interface::CallerDialect;
+use crate::logging::ROUTINE_MESSAGE;
 
 /// Targets tried for one attempt of a caller, those included that no byte was sent to.
 const MAX_TRIES: usize = 4;
@@ -62,7 +64,7 @@
     target: Option<TargetId>,
     tries: u64,
     sent: u64,
-    wait_ms: u64,
+    wait: Duration,
     load: f64,
     is_warm: bool,
     expected_ms: u64,
@@ -150,7 +152,7 @@
         let service = part.map(|part| part.service.clone());
         match service {
             Some(service) => {
-                let percent = self.state.settings().bounds.retry_ratio * 100.0 * RETRY_PART;
+                let percent = self.state.bounds().retry_ratio * 100.0 * RETRY_PART;
                 core.retries(&service).request(percent);
                 Ok(service)
             }
@@ -276,7 +278,18 @@
             Err(refusal) => (refusal.status.as_u16(), refusal.reason),
         };
         let facts = &job.facts;
-        info!("request ended", kv: {
+        self.state.metrics().request(&RequestCount {
+            route: &facts.route.name,
+            outcome: reason,
+            took: facts.arrived.elapsed(),
+            wait: trail.wait,
+            sent: trail.sent,
+        });
+        let message = match result {
+            Ok(response) if response.status().is_success() => ROUTINE_MESSAGE,
+            _ => "request not served",
+        };
+        info!("{message}", kv: {
             request_id: = facts.attempt,
             route: = facts.route.name,
             customer: = facts.customer.as_deref().unwrap_or("-"),
@@ -284,7 +297,7 @@
             target: = trail.target.as_deref().unwrap_or("-"),
             tries = trail.tries,
             sent = trail.sent,
-            wait_ms = trail.wait_ms,
+            wait_ms = trail.wait.as_millis() as u64,
             load = trail.load,
             object = facts.object.unwrap_or_default(),
             is_warm = trail.is_warm,
@@ -301,7 +314,7 @@
     fn note(&mut self, choice: &PlacementChoice) {
         self.target = Some(choice.target.clone());
         self.tries += 1;
-        self.wait_ms = choice.wait.as_millis() as u64;
+        self.wait = choice.wait;
         self.load = choice.load;
         self.is_warm = choice.is_warm;
         self.expected_ms = choice.expected.as_millis() as u64;
--- a/crates/buckthornturn/src/entry/look_up.rs
+++ b/crates/buckthornturn/src/entry/look_up.rs
@@ -45,6 +45,6 @@
 pub fn look_up_life(state: &EntryState) -> Duration {
     /// Life of an answer while all is well: short enough for callers to hear of a host that ends within its grace period.
     const LIFE: Duration = Duration::from_secs(2);
-    let longest = Duration::from_secs_f64(state.settings().bounds.look_up_life_seconds.max(0.1));
+    let longest = Duration::from_secs_f64(state.bounds().look_up_life_seconds.max(0.1));
     LIFE.min(longest)
 }
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -113,6 +113,7 @@
     }
 
     fn reached(&mut self) {
+        self.state.metrics().store_call(self.part.name(), true);
         self.state.set_reached(self.part, true);
         if self.failures > 0 {
             info!("store regained", kv: { part: = self.part.name(), failures = self.failures });
@@ -121,6 +122,7 @@
     }
 
     async fn failed(&mut self, error: &SourceError) {
+        self.state.metrics().store_call(self.part.name(), false);
         if self.failures == 0 {
             warn!("store lost", kv: { part: = self.part.name(), reason: = error });
         }
--- a/crates/buckthornturn/src/logging/process_log.rs
+++ b/crates/buckthornturn/src/logging/process_log.rs
@@ -1,20 +1,22 @@
 //! Sets up the log of this process and changes its level.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::OnceLock;
 
 use spdlog::Level;
 use spdlog::LevelFilter;
 use spdlog::Logger;
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::SinkPropAccess;
 
+use crate::logging::BoundedSink;
 use crate::logging::LineFormatter;
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
 use crate::settings::LogSettings;
 
-const FLUSH_PERIOD: Duration = Duration::from_millis(500);
+/// The sink of this process, asked for how many lines it dropped.
+static SINK: OnceLock<Arc<BoundedSink>> = OnceLock::new();
 
 /// The log of this process.
 pub struct ProcessLog;
@@ -26,21 +28,26 @@
     ///
     /// Fails if the logging library refuses the logger.
     pub fn start(settings: &LogSettings) -> spdlog::Result<()> {
-        let sink = StdStreamSink::builder().stdout();
-        let sink = match settings.format {
-            LogFormat::KeyValue => sink.formatter(LineFormatter).build_arc()?,
-            LogFormat::Json => sink.formatter(JsonFormatter::new()).build_arc()?,
-        };
+        let sink = Arc::new(BoundedSink::new(std::io::stdout()));
+        match settings.format {
+            LogFormat::KeyValue => sink.set_formatter(Box::new(LineFormatter)),
+            LogFormat::Json => sink.set_formatter(Box::new(JsonFormatter::new())),
+        }
+        let _ = SINK.set(Arc::clone(&sink));
         let logger = Logger::builder()
             .sink(sink)
             .level_filter(level_filter(settings.level))
-            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+            .flush_level_filter(LevelFilter::Off)
             .build_arc()?;
         spdlog::set_default_logger(Arc::clone(&logger));
-        logger.set_flush_period(Some(FLUSH_PERIOD));
         Ok(())
     }
 
+    /// Lines dropped so far, as the sink was behind or over its rate.
+    pub fn dropped() -> u64 {
+        SINK.get().map_or(0, |sink| sink.dropped())
+    }
+
     /// Changes the least severe level that is written.
     pub fn set_level(level: LogLevel) {
         spdlog::default_logger().set_level_filter(level_filter(level));
--- /dev/null
+++ b/crates/buckthornturn/src/logging/tests.rs
@@ -0,0 +1,68 @@
+//! Tests of the log.
+
+use std::io::PipeWriter;
+use std::io::Read;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use spdlog::Level;
+use spdlog::LevelFilter;
+use spdlog::Logger;
+use spdlog::sink::Sink;
+use spdlog::sink::SinkPropAccess;
+
+use super::BoundedSink;
+use super::LineFormatter;
+use super::ROUTINE_MESSAGE;
+
+/// More lines than the queue and the second's bound take.
+const MANY: usize = 10_000;
+
+fn logger(writer: PipeWriter) -> (Arc<BoundedSink>, Logger) {
+    let sink = Arc::new(BoundedSink::new(writer));
+    sink.set_formatter(Box::new(LineFormatter));
+    let shared: Arc<dyn Sink> = sink.clone();
+    let logger = Logger::builder().sink(shared).level_filter(LevelFilter::All).build().unwrap();
+    (sink, logger)
+}
+
+#[test]
+fn a_stuck_reader_stalls_nothing() {
+    let (_reader, writer) = std::io::pipe().unwrap();
+    let (sink, logger) = logger(writer);
+    let started_at = Instant::now();
+    for number in 0..MANY {
+        spdlog::info!(logger: logger, "decision {number} {}", "x".repeat(200));
+    }
+    assert!(started_at.elapsed() < Duration::from_secs(2), "{:?}", started_at.elapsed());
+    assert!(sink.dropped() > 0);
+}
+
+#[test]
+fn lines_are_written_in_order() {
+    let (mut reader, writer) = std::io::pipe().unwrap();
+    let (sink, logger) = logger(writer);
+    for number in 0..3 {
+        spdlog::info!(logger: logger, "decision {number}");
+    }
+    sink.flush().unwrap();
+    let mut buffer = vec![0; 4_096];
+    let length = reader.read(&mut buffer).unwrap();
+    let text = String::from_utf8_lossy(&buffer[..length]);
+    let places: Vec<_> = (0..3).map(|number| text.find(&format!("decision {number}"))).collect();
+    assert!(places.is_sorted() && places[0].is_some(), "{text}");
+}
+
+#[test]
+fn routine_lines_give_way_to_others() {
+    let (_reader, writer) = std::io::pipe().unwrap();
+    let (sink, logger) = logger(writer);
+    for _ in 0..MANY {
+        spdlog::log!(logger: logger, Level::Info, "{}", ROUTINE_MESSAGE);
+    }
+    let dropped = sink.dropped();
+    spdlog::warn!(logger: logger, "store lost");
+    assert!(dropped > 0);
+    assert_eq!(sink.dropped(), dropped);
+}
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -48,6 +48,7 @@
     /// For other hosts, TCP and UDP.
     pub mesh: SocketAddr,
     /// For scrapes of metrics.
+    #[serde(default)]
     pub metrics: Option<SocketAddr>,
 }
 
--- a/crates/buckthornturn/src/subcommand/host_command.rs
+++ b/crates/buckthornturn/src/subcommand/host_command.rs
@@ -10,12 +10,14 @@
 use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::document::EntryDocument;
 use crate::document::SettingsDocument;
 use crate::entry::EntryParts;
 use crate::entry::EntryProcess;
 use crate::entry::GuardedDialer;
+use crate::entry::SettingsWatch;
 use crate::error::Error;
 use crate::error::HostSnafu;
 use crate::error::InvalidFileSnafu;
@@ -66,21 +68,25 @@
         .or_else(|problems| InvalidFileSnafu { problems: file_problems(path, &problems) }.fail())?;
     ProcessLog::start(&settings.log).context(LogSnafu)?;
     let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
-    runtime.block_on(serve_entry(settings))
+    runtime.block_on(serve_entry(path, settings))
 }
 
-async fn serve_entry(settings: EntrySettings) -> Result<(), Error> {
+async fn serve_entry(path: &Path, settings: EntrySettings) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let (store, domains) = (settings.platform.store, settings.domains.clone());
     let parts = EntryParts {
         source: Arc::new(StoreSource::new(store, domains, Arc::new(GuardedDialer))),
         dialect: Arc::new(WireDialect),
     };
+    let hang_up = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     let process = EntryProcess::start(settings, parts).await.context(HostSnafu)?;
+    let watch = SettingsWatch::new(path.into(), Arc::clone(process.state()));
+    let watching = AbortOnDropHandle::new(tokio::spawn(watch.run(hang_up)));
     tokio::select! {
         _ = tokio::signal::ctrl_c() => {}
         _ = terminate.recv() => {}
     }
+    drop(watching);
     process.shutdown().await;
     spdlog::default_logger().flush();
     Ok(())
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Roster, shares of limits, splits and placement of entry hosts.
 
+#![allow(clippy::unwrap_used)]
+
 mod support {
     pub mod fleet_parts;
 }
