A large fleet follows the store through two hosts of each region

Change: from 16 other hosts on, all but two hosts of a region follow the part through one of those two by long polls over the mesh; a relay that fails or lags is left for the store for 5 s. One reader of HTTP for the store and for other hosts. Ruled out: following by heartbeats alone, which take up to 2.5 s of a bound of 3 s.

--- /dev/null
+++ b/crates/buckthornturn/src/entry/change_history.rs
@@ -0,0 +1,59 @@
+//! Changes of the state that other hosts can follow.
+
+use std::collections::VecDeque;
+
+use coordination::ids::Revision;
+
+use crate::interface::StateBatch;
+use crate::interface::StateChange;
+
+/// Batches of changes that are kept: minutes of changes, or seconds of a storm; a host further behind reads the whole part.
+const MAX_BATCHES: usize = 256;
+
+/// The latest changes of one part.
+#[derive(Debug, Default)]
+pub struct ChangeHistory {
+    batches: VecDeque<StateBatch>,
+    from: Revision,
+    revision: Revision,
+}
+
+impl ChangeHistory {
+    /// Takes a batch that was applied.
+    pub fn note(&mut self, batch: &StateBatch, is_whole: bool) {
+        self.revision = self.revision.max(batch.revision);
+        if is_whole {
+            self.batches.clear();
+            self.from = self.revision;
+            return;
+        }
+        let Some(last) = batch.changes.last() else { return };
+        if matches!(last, StateChange::Configuration(_)) {
+            self.batches.clear();
+        }
+        self.batches.push_back(batch.clone());
+        if self.batches.len() > MAX_BATCHES {
+            self.from = self.batches.pop_front().map_or(self.from, |oldest| oldest.revision);
+        }
+    }
+
+    /// Revision up to which this host knows the part.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Changes after a revision; `None` if they are no longer known.
+    pub fn after(&self, revision: Revision) -> Option<StateBatch> {
+        if revision < self.from {
+            return None;
+        }
+        let later = self.batches.iter().filter(|batch| batch.revision > revision);
+        let mut joined =
+            StateBatch { revision: self.revision.max(revision), ..StateBatch::default() };
+        for batch in later {
+            joined.latest = joined.latest.max(batch.latest);
+            joined.changes.extend(batch.changes.iter().cloned());
+        }
+        Some(joined)
+    }
+}
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -172,8 +172,8 @@
 
 fn serve_mesh(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
     serve(listener, None, move |request: Request<Incoming>, _peer| {
-        let answer = answer_peer(&state, request.uri().path());
-        async move { answer }
+        let state = Arc::clone(&state);
+        async move { answer_peer(&state, request.uri().path(), request.uri().query()).await }
     })
 }
 
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -30,10 +30,10 @@
 use coordination::retry_budget::RetryBudget;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use serde::Deserialize;
-use serde::Serialize;
 use spdlog::info;
+use tokio::sync::watch;
 
+use crate::entry::ChangeHistory;
 use crate::entry::EntryConfiguration;
 use crate::entry::EntryMetrics;
 use crate::interface::StateBatch;
@@ -46,6 +46,11 @@
 /// entries of living targets are back about two seconds after the store's return.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 
+/// Other hosts heard from which on the fleet is large. Below it each host follows the store by itself.
+const LARGE_FLEET: usize = 16;
+/// Hosts of a region that follow the store in a large fleet: one, and one that stands by.
+const RELAYS: usize = 2;
+
 /// Names and addresses of this host.
 #[derive(Clone, Debug)]
 pub struct EntryIdentity {
@@ -85,22 +90,6 @@
     }
 }
 
-/// One part of the state as hosts hand it to each other.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct PartSnapshot {
-    /// Revision of the latest change in it.
-    pub latest: Revision,
-    /// Configuration, if that is the part.
-    #[serde(default)]
-    pub configuration: Option<EntryConfiguration>,
-    /// Targets, if those are the part.
-    #[serde(default)]
-    pub targets: Vec<TargetEntry>,
-    /// Closed failure domains, if those are the part.
-    #[serde(default)]
-    pub closed: IndexSet<DomainId>,
-}
-
 /// What an entry host knows and decides by, under one lock that is never held over a wait.
 pub struct EntryCore {
     /// Targets.
@@ -114,6 +103,7 @@
     closed: IndexSet<DomainId>,
     vanished: IndexMap<TargetId, Instant>,
     applied: [Revision; StatePart::ALL.len()],
+    histories: [ChangeHistory; StatePart::ALL.len()],
     has_targets: bool,
     unreached: [bool; StatePart::ALL.len()],
     beat: u64,
@@ -127,6 +117,7 @@
     metrics: EntryMetrics,
     bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
+    changed: watch::Sender<u64>,
     core: Mutex<EntryCore>,
 }
 
@@ -144,6 +135,7 @@
             closed: IndexSet::new(),
             vanished: IndexMap::new(),
             applied: [0; StatePart::ALL.len()],
+            histories: Default::default(),
             has_targets: false,
             unreached: [false; StatePart::ALL.len()],
             beat: 0,
@@ -155,6 +147,7 @@
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
             configuration: ArcSwapOption::empty(),
+            changed: watch::Sender::new(0),
             core: Mutex::new(core),
         })
     }
@@ -201,11 +194,12 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies changes. With `is_whole` they are all there is of the part, and what is not among them is gone. With
+    /// Applies changes and tells hosts that follow this one. With `is_whole` they are all there is of the part, and what is not among them is gone. With
     /// `is_outage` the store was away lately, and a target that vanished may come back.
     pub fn apply(&self, part: StatePart, batch: StateBatch, is_whole: bool, is_outage: bool) {
         let now = Instant::now();
         let mut core = self.lock();
+        core.histories[part as usize].note(&batch, is_whole);
         if is_whole && part == StatePart::Targets {
             core.retain_targets(&batch.changes, is_outage, now);
         }
@@ -230,43 +224,79 @@
         core.has_targets |= part == StatePart::Targets;
         let applied = &mut core.applied[part as usize];
         *applied = batch.latest.max(*applied);
+        drop(core);
+        self.changed.send_modify(|count| *count += 1);
     }
 
-    /// One part as other hosts get it.
-    pub fn snapshot(&self, part: StatePart) -> PartSnapshot {
+    /// One part whole, as other hosts get it.
+    pub fn snapshot(&self, part: StatePart) -> StateBatch {
         let core = self.lock();
-        let configuration = match part {
-            StatePart::Configuration => self.configuration().map(|known| (*known).clone()),
-            _ => None,
-        };
-        let targets = match part {
-            StatePart::Targets => core.board.entries().cloned().collect(),
-            _ => Vec::new(),
-        };
-        let closed = match part {
-            StatePart::ClosedDomains => core.closed.clone(),
-            _ => IndexSet::new(),
-        };
-        PartSnapshot { latest: core.applied[part as usize], configuration, targets, closed }
-    }
-
-    /// Applies what another host knows of a part, if it is later.
-    pub fn apply_snapshot(&self, part: StatePart, snapshot: PartSnapshot) -> bool {
-        if snapshot.latest <= self.lock().applied[part as usize] {
-            return false;
-        }
         let changes = match part {
             StatePart::Configuration => {
-                snapshot.configuration.into_iter().map(StateChange::Configuration).collect()
+                let known = self.configuration().map(|known| (*known).clone());
+                known.into_iter().map(StateChange::Configuration).collect()
             }
-            StatePart::Targets => snapshot.targets.into_iter().map(StateChange::Target).collect(),
+            StatePart::Targets => core.board.entries().cloned().map(StateChange::Target).collect(),
             StatePart::ClosedDomains => {
-                snapshot.closed.into_iter().map(StateChange::DomainClosed).collect()
+                core.closed.iter().cloned().map(StateChange::DomainClosed).collect()
             }
         };
-        let batch = StateBatch { revision: snapshot.latest, latest: snapshot.latest, changes };
-        self.apply(part, batch, true, false);
-        true
+        let revision = core.histories[part as usize].revision();
+        StateBatch { revision, latest: core.applied(part), changes }
+    }
+
+    /// Changes of a part after a revision, as soon as there are some, at the latest after `wait`; `None` if they are no
+    /// longer known.
+    pub async fn wait_for_changes(
+        &self,
+        part: StatePart,
+        after: Revision,
+        wait: Duration,
+    ) -> Option<StateBatch> {
+        let end = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            let batch = self.lock().histories[part as usize].after(after)?;
+            let is_due = !batch.changes.is_empty() || Instant::now() >= end;
+            if is_due || tokio::time::timeout_at(end.into(), changed.changed()).await.is_err() {
+                return Some(batch);
+            }
+        }
+    }
+
+    /// Applies what another host knows of a part, if it is later.
+    pub fn apply_snapshot(&self, part: StatePart, snapshot: StateBatch) -> bool {
+        let is_later = snapshot.latest > self.applied(part);
+        if is_later {
+            self.apply(part, snapshot, true, false);
+        }
+        is_later
+    }
+
+    /// Mesh address of the host through which this one follows the state, in place of the store. In a large fleet a few
+    /// hosts of each region read the store for the others, as each call is paid for.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        let core = self.lock();
+        let live: Vec<&HostNews> = core
+            .roster
+            .live(Instant::now())
+            .filter(|news| news.phase != HostPhase::Leaving)
+            .collect();
+        if live.len() < LARGE_FLEET {
+            return None;
+        }
+        let mut near: Vec<&HostNews> =
+            live.into_iter().filter(|news| news.region == self.own.region).collect();
+        near.sort_by(|a, b| a.host.cmp(&b.host));
+        let ahead = near.iter().filter(|news| news.host < self.own.host).count();
+        if ahead < RELAYS {
+            return None;
+        }
+        let mut relays = near.iter().take(RELAYS).filter(|news| news.reaches_store);
+        let spread = usize::try_from(self.own.incarnation % RELAYS as u64).unwrap_or(0);
+        let first = relays.next()?;
+        let chosen = if spread == 0 { first } else { relays.next().unwrap_or(first) };
+        Some(chosen.mesh)
     }
 
     /// Revision of the latest change of a part that was applied.
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt_guard;
 mod attempt_runner;
+mod change_history;
 mod entry_configuration;
 mod entry_metrics;
 mod entry_process;
@@ -21,6 +22,7 @@
 pub use attempt_runner::AttemptResult;
 pub use attempt_runner::AttemptRunner;
 pub use attempt_runner::EntryJob;
+pub use change_history::ChangeHistory;
 pub use entry_configuration::EntryConfiguration;
 pub use entry_configuration::EntryCustomer;
 pub use entry_configuration::EntryLimits;
@@ -34,7 +36,6 @@
 pub use entry_state::EntryIdentity;
 pub use entry_state::EntryState;
 pub use entry_state::HostPlace;
-pub use entry_state::PartSnapshot;
 pub use front_service::FrontService;
 pub use gossip_loop::GossipLoop;
 pub use guarded_dialer::GuardedDialer;
--- a/crates/buckthornturn/src/entry/peer_reader.rs
+++ b/crates/buckthornturn/src/entry/peer_reader.rs
@@ -1,83 +1,125 @@
-//! Hands parts of the state from host to host over the mesh listener.
+//! Follows the state through other hosts, over their mesh listeners.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use coordination::ids::Revision;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Empty;
 use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use serde_json::json;
 
 use crate::entry::EntryState;
-use crate::entry::PartSnapshot;
+use crate::interface::SourceError;
+use crate::interface::StateBatch;
 use crate::interface::StatePart;
 use crate::interface::StreamDialer;
+use crate::interface::UnavailableSnafu;
+use crate::interface::UnreadableSnafu;
+use crate::store::HttpReader;
 
 const STATE_PATH: &str = "/state/";
 const STATUS_PATH: &str = "/status";
-/// Longest wait for a part from another host: a few round trips between regions and a megabyte.
+/// Longest wait for an answer from another host: a few round trips between regions and a megabyte.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest part that is read, in bytes; the store's values are a megabyte at most.
-const MAX_PART_BYTES: usize = 16 << 20;
+/// Longest wait of a watch that another host is asked for.
+const MAX_WAIT: Duration = Duration::from_secs(30);
 
-/// Reads parts of the state from other hosts.
-#[derive(Clone)]
+/// Follows the state through other hosts.
 pub struct PeerReader {
     dialer: Arc<dyn StreamDialer>,
+    reader: Option<Arc<HttpReader>>,
 }
 
 impl PeerReader {
     /// A reader whose connections a dialer opens.
     pub fn new(dialer: Arc<dyn StreamDialer>) -> Self {
-        Self { dialer }
+        Self { dialer, reader: None }
     }
 
-    /// Reads a part from the host with a mesh address.
+    /// Reads a part whole from the host with a mesh address.
     ///
     /// # Errors
     ///
     /// Says what went wrong.
-    pub async fn read(&self, peer: SocketAddr, part: StatePart) -> Result<PartSnapshot, Box<str>> {
-        tokio::time::timeout(READ_TIMEOUT, self.exchange(peer, part))
-            .await
-            .unwrap_or_else(|_| Err("no answer in time".into()))
+    pub async fn read(
+        &mut self,
+        peer: SocketAddr,
+        part: StatePart,
+    ) -> Result<StateBatch, SourceError> {
+        let reader = self.reader_of(peer);
+        call(&reader, &format!("{STATE_PATH}{}", part.name()), READ_TIMEOUT).await
     }
 
-    async fn exchange(&self, peer: SocketAddr, part: StatePart) -> Result<PartSnapshot, Box<str>> {
-        let stream = self.dialer.dial(peer).await.map_err(text)?;
-        let (mut sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
-        let task = tokio::spawn(connection);
-        let request = Request::get(format!("{STATE_PATH}{}", part.name()))
-            .header(http::header::HOST, peer.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(text)?;
-        let response = sender.send_request(request).await.map_err(text)?;
-        let body = Limited::new(response.into_body(), MAX_PART_BYTES).collect().await;
-        task.abort();
-        let bytes = body.map_err(|error| Box::from(error.to_string()))?.to_bytes();
-        serde_json::from_slice(&bytes).map_err(text)
+    /// A watch of a part through the host with a mesh address.
+    pub fn watch(
+        &mut self,
+        peer: SocketAddr,
+        part: StatePart,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<StateBatch, SourceError>> + use<> {
+        let reader = self.reader_of(peer);
+        let wait_ms = wait.as_millis();
+        let path = format!("{STATE_PATH}{}?after={after}&wait_ms={wait_ms}", part.name());
+        async move { call(&reader, &path, wait + READ_TIMEOUT).await }
+    }
+
+    fn reader_of(&mut self, peer: SocketAddr) -> Arc<HttpReader> {
+        match &self.reader {
+            Some(reader) if reader.address() == peer => Arc::clone(reader),
+            _ => {
+                let reader = Arc::new(HttpReader::new(peer, Arc::clone(&self.dialer)));
+                self.reader = Some(Arc::clone(&reader));
+                reader
+            }
+        }
     }
 }
 
-/// Answers the mesh listener: parts of the state, and the status of this host.
-pub fn answer_peer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
+async fn call(
+    reader: &HttpReader,
+    path: &str,
+    timeout: Duration,
+) -> Result<StateBatch, SourceError> {
+    let answer = reader.get(path, timeout).await;
+    let (status, body) = answer.or_else(|reason| UnavailableSnafu { reason }.fail())?;
+    match status {
+        StatusCode::OK => serde_json::from_slice(&body).map_err(|error| {
+            let reason = error.to_string();
+            UnreadableSnafu { reason }.build()
+        }),
+        StatusCode::GONE => Err(SourceError::HistoryGone),
+        status => Err(SourceError::Refused { status: status.as_u16() }),
+    }
+}
+
+/// Answers the mesh listener: parts of the state, whole or from a revision on, and the status of this host.
+pub async fn answer_peer(
+    state: &EntryState,
+    path: &str,
+    query: Option<&str>,
+) -> Response<Full<Bytes>> {
     let part = path.strip_prefix(STATE_PATH);
     let part = part.and_then(|name| StatePart::ALL.into_iter().find(|part| part.name() == name));
-    let body = match (part, path) {
-        (Some(part), _) => serde_json::to_vec(&state.snapshot(part)),
-        (None, STATUS_PATH) => serde_json::to_vec(&status(state)),
-        _ => return with_status(StatusCode::NOT_FOUND, Bytes::new()),
-    };
-    match body {
+    match (part, number(query, "after")) {
+        (Some(part), None) => encoded(&state.snapshot(part)),
+        (Some(part), Some(after)) => {
+            let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
+            match state.wait_for_changes(part, after, wait).await {
+                Some(batch) => encoded(&batch),
+                None => with_status(StatusCode::GONE, Bytes::new()),
+            }
+        }
+        (None, _) if path == STATUS_PATH => encoded(&status(state)),
+        (None, _) => with_status(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
+fn encoded(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(value) {
         Ok(body) => with_status(StatusCode::OK, body.into()),
         Err(error) => {
             with_status(StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes().into())
@@ -92,6 +134,11 @@
     response
 }
 
+fn number(query: Option<&str>, name: &str) -> Option<u64> {
+    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
 fn status(state: &EntryState) -> serde_json::Value {
     let configuration = state.configuration();
     let core = state.lock();
@@ -104,7 +151,3 @@
         "hosts": hosts,
     })
 }
-
-fn text(error: impl std::fmt::Display) -> Box<str> {
-    error.to_string().into()
-}
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -1,11 +1,13 @@
 //! Keeps one part of the state up to date from the store, and from other hosts while the store is not reached.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use coordination::ids::Revision;
 use coordination::retry_budget::full_jitter;
+use futures::FutureExt;
 use spdlog::info;
 use spdlog::warn;
 
@@ -28,6 +30,10 @@
 /// Time for which another host may be ahead before the own watch counts as dead.
 const LAG_ALLOWED: Duration = Duration::from_millis(500);
 const LAG_CHECK: Duration = Duration::from_millis(250);
+/// Time for which the store is followed after a relay failed or was behind.
+const RELAY_PAUSE: Duration = Duration::from_secs(5);
+/// Longest wait for news of other hosts before the first read: in a large fleet the part is read from one of them.
+const ACQUAINTANCE_TIME: Duration = Duration::from_millis(400);
 /// Time after an outage of the store in which entries of living targets may be missing.
 const OUTAGE_ECHO: Duration = Duration::from_millis(2_500);
 
@@ -40,6 +46,7 @@
     after: Option<Revision>,
     failures: u32,
     failed_at: Option<Instant>,
+    shunned_at: Option<Instant>,
 }
 
 enum FollowStep {
@@ -48,6 +55,8 @@
     Lagging,
     /// This host begins to look out for its region.
     Promoted,
+    /// The part is followed elsewhere.
+    Again,
 }
 
 impl StateFollower {
@@ -58,15 +67,27 @@
         peers: PeerReader,
         part: StatePart,
     ) -> Self {
-        Self { state, source, peers, part, after: None, failures: 0, failed_at: None }
+        Self {
+            state,
+            source,
+            peers,
+            part,
+            after: None,
+            failures: 0,
+            failed_at: None,
+            shunned_at: None,
+        }
     }
 
     /// Follows until dropped.
     pub async fn run(mut self) {
+        if !self.state.settings().seeds.is_empty() {
+            tokio::time::sleep(ACQUAINTANCE_TIME).await;
+        }
         loop {
             let is_whole = self.after.is_none();
             let step = match self.after {
-                None => FollowStep::Batch(self.source.read(self.part).await),
+                None => self.read().await,
                 Some(after) => self.watch(after).await,
             };
             match step {
@@ -91,7 +112,9 @@
                         part: = self.part.name(), applied = self.state.applied(self.part)
                     });
                     self.after = None;
+                    self.shunned_at = Some(Instant::now());
                 }
+                FollowStep::Again => {}
                 FollowStep::Promoted => {
                     info!("host looks out for its region", kv: { part: = self.part.name() });
                 }
@@ -99,12 +122,51 @@
         }
     }
 
-    async fn watch(&self, after: Revision) -> FollowStep {
+    /// Where the part is followed now: through a relay, unless that failed lately.
+    fn relay(&self) -> Option<SocketAddr> {
+        let is_shunned = self.shunned_at.is_some_and(|at| at.elapsed() < RELAY_PAUSE);
+        if is_shunned { None } else { self.state.relay() }
+    }
+
+    async fn read(&mut self) -> FollowStep {
+        let relay = self.relay();
+        let batch = match relay {
+            Some(relay) => self.peers.read(relay, self.part).await,
+            None => self.source.read(self.part).await,
+        };
+        self.judge(relay, batch)
+    }
+
+    async fn watch(&mut self, after: Revision) -> FollowStep {
+        let relay = self.relay();
         let is_sentinel = self.state.is_sentinel();
         let wait = if is_sentinel { SENTINEL_WAIT } else { WATCH_WAIT };
-        tokio::select! {
-            batch = self.source.watch(self.part, after, wait) => FollowStep::Batch(batch),
-            step = self.interruption(is_sentinel) => step,
+        let watch = match relay {
+            Some(relay) => self.peers.watch(relay, self.part, after, wait).boxed(),
+            None => self.source.watch(self.part, after, wait),
+        };
+        let batch = tokio::select! {
+            batch = watch => batch,
+            step = self.interruption(is_sentinel, relay) => return step,
+        };
+        self.judge(relay, batch)
+    }
+
+    /// A relay that fails is left alone for a while.
+    fn judge(
+        &mut self,
+        relay: Option<SocketAddr>,
+        batch: Result<StateBatch, SourceError>,
+    ) -> FollowStep {
+        match (relay, batch) {
+            (Some(relay), Err(error)) if error != SourceError::HistoryGone => {
+                info!("relay not reached, following the store", kv: {
+                    part: = self.part.name(), relay:, reason: = error
+                });
+                self.shunned_at = Some(Instant::now());
+                FollowStep::Again
+            }
+            (_, batch) => FollowStep::Batch(batch),
         }
     }
 
@@ -140,7 +202,7 @@
     }
 
     /// Reads the part from a host that is ahead, if one is.
-    async fn read_peer(&self) -> bool {
+    async fn read_peer(&mut self) -> bool {
         let Some(peer) = self.ahead() else { return false };
         match self.peers.read(peer, self.part).await {
             Ok(snapshot) => {
@@ -151,15 +213,17 @@
                 });
                 is_applied
             }
-            Err(reason) => {
-                warn!("another host did not answer", kv: { part: = self.part.name(), peer:, reason: });
+            Err(error) => {
+                warn!("another host did not answer", kv: {
+                    part: = self.part.name(), peer:, reason: = error
+                });
                 false
             }
         }
     }
 
     /// Mesh address of the live host that is furthest ahead of this one.
-    fn ahead(&self) -> Option<std::net::SocketAddr> {
+    fn ahead(&self) -> Option<SocketAddr> {
         let core = self.state.lock();
         let own = core.applied(self.part);
         let part = self.part as usize;
@@ -168,13 +232,15 @@
         (furthest.applied[part] > own).then_some(furthest.mesh)
     }
 
-    /// Waits until another host has been ahead for too long, or this host has to look out for its region.
-    async fn interruption(&self, is_sentinel: bool) -> FollowStep {
+    /// Waits until another host has been ahead for too long, this host has to look out for its region, or the part is
+    /// to be followed elsewhere.
+    async fn interruption(&self, is_sentinel: bool, relay: Option<SocketAddr>) -> FollowStep {
         let mut since: Option<Instant> = None;
         loop {
             tokio::time::sleep(LAG_CHECK).await;
             since = match (self.ahead(), since) {
                 _ if !is_sentinel && self.state.is_sentinel() => return FollowStep::Promoted,
+                _ if self.relay() != relay => return FollowStep::Again,
                 (None, _) => None,
                 (Some(_), None) => Some(Instant::now()),
                 (Some(_), Some(at)) if at.elapsed() >= LAG_ALLOWED => return FollowStep::Lagging,
--- a/crates/buckthornturn/src/interface/state_source.rs
+++ b/crates/buckthornturn/src/interface/state_source.rs
@@ -40,7 +40,8 @@
 }
 
 /// One change of the state.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StateChange {
     /// Another configuration is in force, whole.
     Configuration(EntryConfiguration),
@@ -55,7 +56,7 @@
 }
 
 /// What a read or a watch saw.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StateBatch {
     /// Revision from which the next watch goes on.
     pub revision: Revision,
--- a/crates/buckthornturn/src/platform/store_source.rs
+++ b/crates/buckthornturn/src/platform/store_source.rs
@@ -4,21 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coordination::ids::DomainId;
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http::Request;
 use http::StatusCode;
-use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 use spdlog::warn;
 
 use super::decode_configuration;
@@ -35,12 +28,10 @@
 use crate::interface::StreamDialer;
 use crate::interface::UnavailableSnafu;
 use crate::interface::UnreadableSnafu;
-use crate::store::ConnectionPool;
+use crate::store::HttpReader;
 
 /// Longest wait for an answer; the store answers in milliseconds, and seconds when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest answer that is read, in bytes; a page is about a megabyte.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Most pages of one list; with 500 objects a page more than any platform holds of a kind.
 const MAX_PAGES: usize = 200;
 /// The one object of the kind `config` that is in force.
@@ -48,8 +39,7 @@
 
 /// The platform's store as a source of state.
 pub struct StoreSource {
-    address: SocketAddr,
-    pool: Arc<ConnectionPool>,
+    reader: HttpReader,
     regions: IndexMap<DomainId, RegionId>,
 }
 
@@ -60,7 +50,7 @@
         regions: IndexMap<DomainId, RegionId>,
         dialer: Arc<dyn StreamDialer>,
     ) -> Self {
-        Self { address, pool: ConnectionPool::new(address, dialer), regions }
+        Self { reader: HttpReader::new(address, dialer), regions }
     }
 
     async fn read_part(&self, part: StatePart) -> Result<StateBatch, SourceError> {
@@ -149,37 +139,16 @@
         path: &str,
         timeout: Duration,
     ) -> Result<T, SourceError> {
-        let answer = tokio::time::timeout(timeout, self.exchange(path)).await;
-        let body = answer.unwrap_or_else(|_| unavailable("no answer in time"))?;
-        let value: Value =
-            serde_json::from_slice(&body).map_err(|error| unreadable(&error.to_string()))?;
-        serde_path_to_error::deserialize(value)
-            .map_err(|error| unreadable(&format!("{}: {}", error.path(), error.inner())))
-    }
-
-    async fn exchange(&self, path: &str) -> Result<Bytes, SourceError> {
-        match self.exchange_once(path, false).await {
-            Err(SourceError::Unavailable { .. }) => self.exchange_once(path, true).await,
-            result => result,
-        }
-    }
-
-    /// Sends one call; all calls are reads, so that one on a kept connection that broke may be sent again on a fresh one.
-    async fn exchange_once(&self, path: &str, fresh: bool) -> Result<Bytes, SourceError> {
-        let lent = self.pool.lend(fresh, CALL_TIMEOUT).await;
-        let mut connection = lent.or_else(|reason| unavailable(&reason))?;
-        let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(|error| unreadable(&error.to_string()))?;
-        let sent = connection.sender.send_request(request).await;
-        let response = sent.or_else(|error| unavailable(&error.to_string()))?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.or_else(|error| unavailable(&error.to_string()))?;
-        self.pool.give_back(connection);
-        match parts.status {
-            StatusCode::OK => Ok(body.to_bytes()),
+        let answer = self.reader.get(path, timeout).await;
+        let (status, body) = answer.or_else(|reason| UnavailableSnafu { reason }.fail())?;
+        match status {
+            StatusCode::OK => {
+                let mut json = serde_json::Deserializer::from_slice(&body);
+                serde_path_to_error::deserialize(&mut json).map_err(|error| {
+                    let reason = format!("{}: {}", error.path(), error.inner());
+                    UnreadableSnafu { reason }.build()
+                })
+            }
             StatusCode::GONE => Err(SourceError::HistoryGone),
             status => Err(SourceError::Refused { status: status.as_u16() }),
         }
@@ -208,11 +177,3 @@
         StatePart::ClosedDomains => "evacuations",
     }
 }
-
-fn unavailable<T>(reason: &str) -> Result<T, SourceError> {
-    UnavailableSnafu { reason }.fail()
-}
-
-fn unreadable(reason: &str) -> SourceError {
-    UnreadableSnafu { reason }.build()
-}
--- /dev/null
+++ b/crates/buckthornturn/src/store/http_reader.rs
@@ -0,0 +1,70 @@
+//! Reads over kept connections to one address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use crate::interface::StreamDialer;
+use crate::store::ConnectionPool;
+
+/// Longest wait for a connection: a few round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest answer that is read, in bytes; values and pages are about a megabyte.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Reads over kept connections to one address.
+pub(crate) struct HttpReader {
+    address: SocketAddr,
+    pool: Arc<ConnectionPool>,
+}
+
+impl HttpReader {
+    pub(crate) fn new(address: SocketAddr, dialer: Arc<dyn StreamDialer>) -> Self {
+        Self { address, pool: ConnectionPool::new(address, dialer) }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Reads a path. A read on a kept connection that broke is sent again on a fresh one.
+    pub(crate) async fn get(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Box<str>> {
+        let read = async {
+            match self.get_once(path, false).await {
+                Err(_) => self.get_once(path, true).await,
+                answer => answer,
+            }
+        };
+        let answer = tokio::time::timeout(timeout, read).await;
+        answer.unwrap_or_else(|_| Err("no answer in time".into()))
+    }
+
+    async fn get_once(&self, path: &str, fresh: bool) -> Result<(StatusCode, Bytes), Box<str>> {
+        let mut connection = self.pool.lend(fresh, CONNECT_TIMEOUT).await?;
+        let request = Request::get(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(text)?;
+        let response = connection.sender.send_request(request).await.map_err(text)?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(text)?;
+        self.pool.give_back(connection);
+        Ok((parts.status, body.to_bytes()))
+    }
+}
+
+fn text(error: impl std::fmt::Display) -> Box<str> {
+    error.to_string().into()
+}
--- a/crates/buckthornturn/src/store/mod.rs
+++ b/crates/buckthornturn/src/store/mod.rs
@@ -1,11 +1,13 @@
 //! Client of the platform's object store over HTTP.
 
 mod connection_pool;
+mod http_reader;
 mod http_store;
 mod read_coalescer;
 mod store_guard;
 
 pub(crate) use connection_pool::ConnectionPool;
+pub(crate) use http_reader::HttpReader;
 pub use http_store::HttpStore;
 pub use store_guard::StoreCallKind;
 pub use store_guard::StoreCount;
--- a/crates/buckthornturn/tests/platform/state.rs
+++ b/crates/buckthornturn/tests/platform/state.rs
@@ -149,6 +149,36 @@
     assert!(calls <= 15, "{calls} calls in 4 s");
 }
 
+/// In a large fleet only two hosts of a region follow the store.
+#[tokio::test]
+async fn a_large_fleet_follows_the_store_through_two_hosts() {
+    const HOSTS: usize = 20;
+    let fleet = EntryFleet::start(HOSTS, 1).await;
+    fleet
+        .until("all hosts know each other", async || {
+            fleet.hosts.iter().all(|host| host.state().counts().0 == HOSTS as u64 - 1)
+        })
+        .await;
+    fleet
+        .until("relays", async || {
+            fleet.hosts.iter().filter(|host| host.state().relay().is_none()).count() == 2
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = fleet.store.calls();
+    for version in 2..7 {
+        let version = format!("{version:08x}");
+        fleet.store.put("config", "main", configuration(&version, &["key-1"], 1_000.0));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 40, "{calls} calls for five changes and 2 s of sentinel watches");
+    fleet.store.put("config", "main", configuration("00000007", &["key-2"], 1_000.0));
+    for host in 0..HOSTS {
+        assert!(status_soon(&fleet, host, 401).await < APPLY_BOUND);
+    }
+}
+
 #[tokio::test]
 async fn look_ups_name_hosts_until_they_leave() {
     let mut fleet = EntryFleet::start(2, 1).await;
