--- /dev/null
+++ b/crates/coordination/tests/support/overload_model.rs
@@ -0,0 +1,275 @@
+//! A model of the heaviest standard days, without a network: hosts that decide alone, targets that keep the objects they
+//! handled lately, callers whose number swings between regions.
+//!
+//! Twelve targets with six slots stand unevenly in three regions, as the pages of the users say. A target keeps 63 objects;
+//! one that it keeps takes 0.3 of the work. What hosts know of each other's requests comes from answers only.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use coordination::fleet::AttemptEnd;
+use coordination::fleet::BoardHost;
+use coordination::fleet::PlacementAsk;
+use coordination::fleet::PlacementChoice;
+use coordination::fleet::TargetBoard;
+use coordination::fleet::TargetEntry;
+use coordination::fleet::TargetLoad;
+use coordination::fleet::TargetState;
+use indexmap::IndexSet;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Targets by failure domain and region.
+const TARGETS: [(&str, &str, usize); 6] = [
+    ("h-a", "h", 3),
+    ("h-b", "h", 3),
+    ("i-a", "i", 1),
+    ("i-b", "i", 1),
+    ("l-a", "l", 2),
+    ("l-b", "l", 2),
+];
+const REGIONS: [&str; 3] = ["h", "i", "l"];
+const HOSTS_PER_DOMAIN: usize = 2;
+const SLOTS: usize = 6;
+const QUEUE: usize = 18;
+const KEPT_OBJECTS: usize = 63;
+const OBJECTS_PER_REGION: u64 = 60;
+const WORK: f64 = 0.36;
+const WARM_PART: f64 = 0.3;
+/// Latency objective and patience of callers, in seconds.
+const OBJECTIVE: f64 = 0.25;
+const PATIENCE: f64 = 2.0;
+/// Swing and period of the number of callers.
+const SWING: f64 = 0.55;
+const PERIOD: f64 = 36.0;
+const STEP: Duration = Duration::from_millis(1);
+
+/// How requests are placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// By the board.
+    Board,
+    /// On the target of the region with the fewest own requests, whatever its queue.
+    FewestInFlight,
+    /// On a target of the region at random.
+    Random,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelReport {
+    /// Requests.
+    pub asked: u32,
+    /// Answered within the objective.
+    pub timely: u32,
+    /// Answered later.
+    pub late: u32,
+    /// Refused by a host at once.
+    pub refused: u32,
+    /// Requests of the region that was served worst, and those of them answered within the objective.
+    pub worst_region: (u32, u32),
+}
+
+impl ModelReport {
+    /// Share answered within the objective.
+    pub fn timely_share(&self) -> f64 {
+        f64::from(self.timely) / f64::from(self.asked.max(1))
+    }
+
+    /// The same for the region that was served worst.
+    pub fn worst_share(&self) -> f64 {
+        f64::from(self.worst_region.1) / f64::from(self.worst_region.0.max(1))
+    }
+}
+
+struct ModelTarget {
+    entry: TargetEntry,
+    running: Vec<(f64, ModelRequest)>,
+    waiting: VecDeque<ModelRequest>,
+    kept: IndexSet<u64>,
+}
+
+struct ModelRequest {
+    host: usize,
+    region: usize,
+    object: u64,
+    arrived: f64,
+    choice: PlacementChoice,
+}
+
+/// Plays `seconds` of a load of `per_second` requests over all regions.
+pub fn play(way: Way, per_second: f64, seconds: f64, seed: u64) -> ModelReport {
+    let start = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut targets = targets();
+    let mut hosts = hosts(&targets, start);
+    let mut by_region = [(0, 0); REGIONS.len()];
+    let mut report = ModelReport::default();
+    let steps = (seconds / STEP.as_secs_f64()) as u32;
+    for step in 0..steps {
+        let (time, now) = (f64::from(step) * STEP.as_secs_f64(), start + STEP * step);
+        for target in &mut targets {
+            for (request, load) in target.advance(time, &mut rng) {
+                let took = time - request.arrived;
+                let is_timely = took <= OBJECTIVE;
+                report.timely += u32::from(is_timely);
+                report.late += u32::from(!is_timely);
+                by_region[request.region].1 += u32::from(is_timely);
+                let end = AttemptEnd::Answered { time: Duration::from_secs_f64(took) };
+                let board = &mut hosts[request.host].1;
+                board.finished(&request.choice, &"route".into(), end, Some(load), now);
+            }
+        }
+        for region in 0..REGIONS.len() {
+            let phase = region as f64 / REGIONS.len() as f64;
+            let swing = 1.0 + SWING * (std::f64::consts::TAU * (time / PERIOD + phase)).sin();
+            let rate = per_second / REGIONS.len() as f64 * swing * STEP.as_secs_f64();
+            if rng.random::<f64>() < rate {
+                report.asked += 1;
+                by_region[region].0 += 1;
+                let host =
+                    region * HOSTS_PER_DOMAIN * 2 + rng.random_range(0..HOSTS_PER_DOMAIN * 2);
+                let object = region as u64 * 1_000 + rng.random_range(0..OBJECTS_PER_REGION);
+                let board = &mut hosts[host].1;
+                match place(way, board, &targets, REGIONS[region], object, now, &mut rng) {
+                    Some((index, choice)) => {
+                        let request = ModelRequest { host, region, object, arrived: time, choice };
+                        if targets[index].waiting.len() < QUEUE {
+                            targets[index].waiting.push_back(request);
+                        } else {
+                            let end = AttemptEnd::Shed;
+                            board.finished(&request.choice, &"route".into(), end, None, now);
+                            report.refused += 1;
+                        }
+                    }
+                    None => report.refused += 1,
+                }
+            }
+        }
+    }
+    let worst = by_region.into_iter().min_by(|a, b| {
+        (f64::from(a.1) / f64::from(a.0.max(1)))
+            .total_cmp(&(f64::from(b.1) / f64::from(b.0.max(1))))
+    });
+    report.worst_region = worst.unwrap_or_default();
+    report
+}
+
+fn place(
+    way: Way,
+    board: &mut TargetBoard,
+    targets: &[ModelTarget],
+    region: &str,
+    object: u64,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<(usize, PlacementChoice)> {
+    let route = "route".into();
+    let service = "service".into();
+    let near: Vec<usize> =
+        (0..targets.len()).filter(|index| &*targets[*index].entry.region == region).collect();
+    let picked = match way {
+        Way::Board => None,
+        Way::Random => Some(near[rng.random_range(0..near.len())]),
+        Way::FewestInFlight => near
+            .into_iter()
+            .min_by_key(|index| targets[*index].running.len() + targets[*index].waiting.len()),
+    };
+    let others = |name: &str| targets.iter().any(|target| &*target.entry.target == name);
+    if let Some(index) = picked {
+        let entry = &targets[index].entry;
+        let choice = PlacementChoice {
+            target: entry.target.clone(),
+            address: entry.address,
+            failure_domain: entry.failure_domain.clone(),
+            is_warm: false,
+            load: 0.0,
+            wait: Duration::ZERO,
+            expected: Duration::ZERO,
+        };
+        return Some((index, choice));
+    }
+    let ask = PlacementAsk {
+        route: &route,
+        service: &service,
+        key: Some(object.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        regions: &[],
+        excluded: &[],
+        time_left: Duration::from_secs_f64(PATIENCE),
+        objective: Duration::from_secs_f64(OBJECTIVE),
+        priority: 1,
+    };
+    let choice = board.choose(&ask, now).ok()?;
+    assert!(others(&choice.target));
+    let index = targets.iter().position(|target| target.entry.target == choice.target)?;
+    Some((index, choice))
+}
+
+impl ModelTarget {
+    /// Ends what is done and starts what waits; returns what ended, with the load as the target reports it.
+    fn advance(&mut self, time: f64, rng: &mut impl Rng) -> Vec<(ModelRequest, TargetLoad)> {
+        let mut ended = Vec::new();
+        while let Some(done) = self.running.iter().position(|(end, _)| *end <= time) {
+            let (_, request) = self.running.swap_remove(done);
+            let load = TargetLoad {
+                running: self.running.len() as u32 + 1,
+                waiting: self.waiting.len() as u32,
+                slots: SLOTS as u32,
+            };
+            ended.push((request, load));
+        }
+        while self.running.len() < SLOTS {
+            let Some(request) = self.waiting.pop_front() else { break };
+            let is_warm = self.kept.shift_remove(&request.object);
+            self.kept.insert(request.object);
+            if self.kept.len() > KEPT_OBJECTS {
+                self.kept.shift_remove_index(0);
+            }
+            let spread = rng.random_range(0.75..1.25);
+            let work = WORK * spread * if is_warm { WARM_PART } else { 1.0 };
+            self.running.push((time + work, request));
+        }
+        ended
+    }
+}
+
+fn targets() -> Vec<ModelTarget> {
+    let mut targets = Vec::new();
+    for (domain, region, count) in TARGETS {
+        for number in 0..count {
+            let entry = TargetEntry {
+                target: format!("{domain}-{number}").into(),
+                started_at: 1,
+                service: "service".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                failure_domain: domain.into(),
+                region: region.into(),
+                slots: SLOTS as u32,
+                state: TargetState::Ready,
+                cold_for: Duration::ZERO,
+            };
+            let (running, waiting) = (Vec::new(), VecDeque::new());
+            targets.push(ModelTarget { entry, running, waiting, kept: IndexSet::new() });
+        }
+    }
+    targets
+}
+
+fn hosts(targets: &[ModelTarget], now: Instant) -> Vec<(BoardHost, TargetBoard)> {
+    let mut hosts = Vec::new();
+    for (domain, region, _) in TARGETS {
+        for number in 0..HOSTS_PER_DOMAIN {
+            let host = format!("host-{domain}-{number}").into();
+            let own = BoardHost { host, failure_domain: domain.into() };
+            let mut board = TargetBoard::new(own.clone(), region.into(), now);
+            for target in targets {
+                board.put(target.entry.clone(), now);
+            }
+            hosts.push((own, board));
+        }
+    }
+    hosts
+}
