--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -77,15 +77,18 @@
     pub region: &'a str,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Processor share, in cores.
+    pub capacity: f64,
 }
 
 impl EntryIdentity {
     /// Where this host stands.
-    pub fn place(&self) -> HostPlace<'_> {
+    pub fn place(&self, capacity: f64) -> HostPlace<'_> {
         HostPlace {
             failure_domain: &self.failure_domain,
             region: &self.region,
             callers: self.callers,
+            capacity,
         }
     }
 }
@@ -349,6 +352,7 @@
             region: self.own.region.clone(),
             callers: self.own.callers,
             mesh: self.own.mesh,
+            capacity: self.settings.capacity_cores,
             applied: core.applied,
             reaches_store: !core.unreached.contains(&true),
             demand: core.quotas.demand(now),
--- a/crates/buckthornturn/src/entry/look_up.rs
+++ b/crates/buckthornturn/src/entry/look_up.rs
@@ -6,6 +6,7 @@
 
 use coordination::fleet::HostNews;
 use coordination::fleet::HostPhase;
+use rand::seq::IndexedRandom;
 
 use crate::entry::EntryState;
 use crate::entry::HostPlace;
@@ -13,32 +14,52 @@
 
 /// Most hosts in an answer; callers read no more than 64.
 const MAX_HOSTS: usize = 64;
+/// Most hosts drawn for one answer where hosts differ in size.
+const DRAWN_HOSTS: usize = 8;
+/// Capacity that a host counts for at least, in cores.
+const MIN_CAPACITY: f64 = 0.01;
 /// Hosts from which on callers are kept to their own failure domain.
 const ENOUGH_HOSTS: usize = 2;
 
 /// The entry hosts for a caller: those of its failure domain if there are enough, else of its region, else all.
 pub fn hosts_for(state: &EntryState, ask: &LookUpAsk) -> Vec<SocketAddr> {
     let core = state.lock();
-    let itself = (!core.is_leaving()).then(|| state.own().place());
+    let itself = (!core.is_leaving()).then(|| state.own().place(state.settings().capacity_cores));
     let live = core.roster.live(Instant::now()).filter(|news| news.phase == HostPhase::Serving);
     let hosts: Vec<HostPlace<'_>> = itself.into_iter().chain(live.map(place_of)).collect();
-    let near = addresses(&hosts, |host| *host.failure_domain == *ask.failure_domain);
-    let regional = addresses(&hosts, |host| *host.region == *ask.region);
-    let mut chosen = match (near.len(), regional.len()) {
-        (count, _) if count >= ENOUGH_HOSTS => near,
-        (_, count) if count > 0 => regional,
-        _ => addresses(&hosts, |_| true),
+    let of = |fits: &dyn Fn(&HostPlace<'_>) -> bool| -> Vec<HostPlace<'_>> {
+        hosts.iter().filter(|host| fits(host)).copied().collect()
     };
-    chosen.truncate(MAX_HOSTS);
-    chosen
+    let near = of(&|host| *host.failure_domain == *ask.failure_domain);
+    let regional = of(&|host| *host.region == *ask.region);
+    match (near.len(), regional.len()) {
+        (count, _) if count >= ENOUGH_HOSTS => spread(&near),
+        (_, count) if count > 0 => spread(&regional),
+        _ => spread(&hosts),
+    }
 }
 
-fn addresses(hosts: &[HostPlace<'_>], fits: impl Fn(&HostPlace<'_>) -> bool) -> Vec<SocketAddr> {
-    hosts.iter().filter(|host| fits(host)).map(|host| host.callers).collect()
+/// Hosts for one caller. Callers take one of them at random, so hosts that differ in size are drawn by their size.
+fn spread(hosts: &[HostPlace<'_>]) -> Vec<SocketAddr> {
+    let is_even = hosts.windows(2).all(|pair| pair[0].capacity == pair[1].capacity);
+    let count = match is_even {
+        true => MAX_HOSTS,
+        false => (hosts.len() / 2).clamp(ENOUGH_HOSTS, DRAWN_HOSTS),
+    };
+    let weight = |host: &HostPlace<'_>| host.capacity.max(MIN_CAPACITY);
+    match hosts.sample_weighted(&mut rand::rng(), count, weight) {
+        Ok(drawn) => drawn.map(|host| host.callers).collect(),
+        Err(_) => hosts.iter().take(count).map(|host| host.callers).collect(),
+    }
 }
 
 fn place_of(news: &HostNews) -> HostPlace<'_> {
-    HostPlace { failure_domain: &news.failure_domain, region: &news.region, callers: news.callers }
+    HostPlace {
+        failure_domain: &news.failure_domain,
+        region: &news.region,
+        callers: news.callers,
+        capacity: news.capacity,
+    }
 }
 
 /// Time for which an answer holds, within what the platform allows.
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -29,6 +29,9 @@
     /// Mesh addresses of some other hosts.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Processor share that this host may use, in cores; callers are spread over hosts by it.
+    #[serde(default = "default_capacity")]
+    pub capacity_cores: f64,
     /// Bounds that the platform holds all hosts to together.
     pub bounds: EntryBounds,
     /// Log.
@@ -36,6 +39,11 @@
     pub log: LogSettings,
 }
 
+/// One core, for hosts that do not say.
+fn default_capacity() -> f64 {
+    1.0
+}
+
 /// Addresses that an entry host listens on.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct EntryListeners {
--- a/crates/coordination/src/fleet/host_news.rs
+++ b/crates/coordination/src/fleet/host_news.rs
@@ -44,6 +44,8 @@
     pub callers: SocketAddr,
     /// Address for other hosts.
     pub mesh: SocketAddr,
+    /// Processor share that it may use, in cores; callers are spread by it.
+    pub capacity: f64,
     /// Revision of the latest change that it has applied, for each part of the state in the order of `StatePart`.
     pub applied: [Revision; 3],
     /// Whether its latest calls to the store were answered.
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -57,6 +57,10 @@
 /// Part of a cold target's rate that the senders use together. Two that disagree with two others on who sends stay within
 /// what the platform tolerates (half as much again and 5): each sends its part and one request beyond it.
 const COLD_RATE_PART: f64 = 0.75;
+/// Weight of the latest report in what others usually have on a target.
+const LATEST_USUAL: f64 = 0.05;
+/// Time without any report in which that is forgotten, so that a host that refused all for a while tries again.
+const USUAL_MEMORY: Duration = Duration::from_secs(2);
 /// What a certain failure costs, in latency objectives: the time lost and the attempt.
 const FAULT_COST: f64 = 2.0;
 /// Weight of the latest service time in the mean of a target's slots.
@@ -89,6 +93,15 @@
     cold_rate: f64,
     cold_time: Duration,
     busy_seconds: Option<f64>,
+    /// Others' requests for each slot, inside and outside the region.
+    others: [UsualLoad; 2],
+}
+
+/// Moving average of what other hosts have on a target for each of its slots; forgotten without reports.
+#[derive(Clone, Copy, Debug, Default)]
+struct UsualLoad {
+    per_slot: f64,
+    at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -103,6 +116,7 @@
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
     record: &'a TargetRecord,
+    load: f64,
     wait: f64,
     work: f64,
     expected: f64,
@@ -273,7 +287,7 @@
             address: best.record.entry.address,
             failure_domain: best.record.entry.failure_domain.clone(),
             is_warm: best.is_warm,
-            load: best.record.track.load(best.record.entry.slots, now),
+            load: best.load,
             wait: Duration::from_secs_f64(best.wait),
             expected: Duration::from_secs_f64(best.expected),
         };
@@ -294,8 +308,11 @@
         let Some(record) = self.targets.get_mut(&choice.target) else { return };
         let in_flight = record.track.in_flight;
         record.track.in_flight = in_flight.saturating_sub(1);
-        if let Some(load) = load {
-            record.track.reported(load, in_flight, now);
+        if let (Some(load), Some(service)) = (load, self.services.get_mut(&record.entry.service)) {
+            let usual = &mut service.others[usize::from(record.entry.region != self.own_region)];
+            let slots = f64::from(record.entry.slots.max(1));
+            usual.add(load.others(in_flight) / slots, now);
+            record.track.reported(load, in_flight, usual.per_slot(now) * slots, now);
         }
         match end {
             AttemptEnd::Answered { time } => {
@@ -356,7 +373,7 @@
         let ranks = ask.key.map(|key| self.rank(&records, key)).unwrap_or_default();
         let (load, slots) = records.iter().fold((0.0, 0.0), |(load, slots), record| {
             let own = f64::from(record.entry.slots);
-            (load + record.track.load(record.entry.slots, now).min(own), slots + own)
+            (load + self.load_of(service, record, now).min(own), slots + own)
         });
         let pressure = if slots > 0.0 { load / slots } else { 0.0 };
         let mut candidates = Vec::with_capacity(records.len());
@@ -374,6 +391,13 @@
         candidates
     }
 
+    /// Requests of all hosts on a target, as far as known.
+    fn load_of(&self, service: &ServiceRecord, record: &TargetRecord, now: Instant) -> f64 {
+        let usual = &service.others[usize::from(record.entry.region != self.own_region)];
+        let slots = record.entry.slots;
+        record.track.load(slots, usual.per_slot(now) * f64::from(slots), now)
+    }
+
     /// Ranks targets for an object by scores that are the same on all hosts.
     fn rank(&self, records: &[&TargetRecord], key: u64) -> KeyRanks {
         let mut ranks = KeyRanks::default();
@@ -399,7 +423,8 @@
         let times = self.times.get(ask.route).copied().unwrap_or_default();
         let work = times.expected(warmth, ask.objective) * track.speed;
         let slots = record.entry.slots.max(1);
-        let excess = (track.load(slots, now) + 1.0 - f64::from(slots)).max(0.0);
+        let load = self.load_of(service, record, now);
+        let excess = (load + 1.0 - f64::from(slots)).max(0.0);
         let busy = service.busy_seconds.unwrap_or(work) * track.speed;
         let wait = excess / f64::from(slots) * busy;
         let is_outside = record.entry.region != self.own_region;
@@ -411,6 +436,7 @@
         let faults = track.faults.share(now) * ask.objective.as_secs_f64() * FAULT_COST;
         Candidate {
             record,
+            load,
             wait,
             work,
             expected: work + wait + trip,
@@ -444,6 +470,18 @@
     }
 }
 
+impl UsualLoad {
+    fn per_slot(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.per_slot * (-age.as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, per_slot: f64, now: Instant) {
+        let known = self.per_slot(now);
+        *self = Self { per_slot: known + LATEST_USUAL * (per_slot - known), at: Some(now) };
+    }
+}
+
 impl ServiceRecord {
     fn add_busy(&mut self, time: Duration) {
         let seconds = time.as_secs_f64();
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -31,6 +31,13 @@
     pub slots: u32,
 }
 
+impl TargetLoad {
+    /// Requests of other hosts among them, where this host has `in_flight`.
+    pub fn others(&self, in_flight: u32) -> f64 {
+        f64::from((self.running + self.waiting).saturating_sub(in_flight))
+    }
+}
+
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AttemptEnd {
@@ -69,7 +76,7 @@
     /// Time until which it counts as full, as it shed a request.
     pub full_until: Option<Instant>,
     others: f64,
-    reported_at: Instant,
+    reported_at: Option<Instant>,
 }
 
 impl TargetTrack {
@@ -84,27 +91,29 @@
             cold_pass: TokenBucket::new(now),
             full_until: None,
             others: 0.0,
-            reported_at: now,
+            reported_at: None,
         }
     }
 
     /// Takes a report; `in_flight` is this host's part in it.
-    pub fn reported(&mut self, load: TargetLoad, in_flight: u32, now: Instant) {
-        let others = f64::from((load.running + load.waiting).saturating_sub(in_flight));
-        let known = self.others(now);
+    pub fn reported(&mut self, load: TargetLoad, in_flight: u32, usual: f64, now: Instant) {
+        let others = load.others(in_flight);
+        let known = self.others(usual, now);
         self.others = known + LATEST_REPORT * (others - known);
-        self.reported_at = now;
+        self.reported_at = Some(now);
     }
 
-    /// Requests of other hosts there, as far as known.
-    pub fn others(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.reported_at).as_secs_f64();
-        self.others * (-age / REPORT_MEMORY.as_secs_f64()).exp()
+    /// Requests of other hosts there. What the target reported counts the less the older it is, and what is `usual` for
+    /// such targets the more.
+    pub fn others(&self, usual: f64, now: Instant) -> f64 {
+        let Some(reported_at) = self.reported_at else { return usual };
+        let age = now.saturating_duration_since(reported_at).as_secs_f64();
+        usual + (self.others - usual) * (-age / REPORT_MEMORY.as_secs_f64()).exp()
     }
 
-    /// Requests of all hosts there, as far as known.
-    pub fn load(&self, slots: u32, now: Instant) -> f64 {
-        let known = f64::from(self.in_flight) + self.others(now);
+    /// Requests of all hosts there, where `usual` is what others usually have there.
+    pub fn load(&self, slots: u32, usual: f64, now: Instant) -> f64 {
+        let known = f64::from(self.in_flight) + self.others(usual, now);
         match self.full_until {
             Some(until) if now < until => known.max(f64::from(slots) * 2.0),
             _ => known,
--- a/crates/coordination/tests/support/fleet_parts.rs
+++ b/crates/coordination/tests/support/fleet_parts.rs
@@ -30,6 +30,7 @@
         region: "r1".into(),
         callers: ([127, 0, 0, 1], 1).into(),
         mesh: ([127, 0, 0, 1], 2).into(),
+        capacity: 0.2,
         applied: [0; 3],
         reaches_store: true,
         demand: IndexMap::new(),
