The same objects run outside their region, by pressure and for each service

Change: a share of the objects, the same on all hosts, runs outside; it moves by 0.05 a second with the requests for each slot.

--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -130,7 +130,7 @@
         let board_host =
             BoardHost { host: own.host.clone(), failure_domain: own.failure_domain.clone() };
         let core = EntryCore {
-            board: TargetBoard::new(board_host, own.region.clone(), Instant::now()),
+            board: TargetBoard::new(board_host, own.region.clone()),
             quotas: QuotaLedger::default(),
             roster: HostRoster::default(),
             retries: IndexMap::new(),
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -29,7 +29,6 @@
 pub use route_split::RouteSplit;
 pub use service_times::ServiceTimes;
 pub use spill_band::SpillBand;
-pub use spill_band::SpillRule;
 pub use target_board::BoardHost;
 pub use target_board::EntryChange;
 pub use target_board::TargetBoard;
--- a/crates/coordination/src/fleet/spill_band.rs
+++ b/crates/coordination/src/fleet/spill_band.rs
@@ -1,5 +1,6 @@
-//! Bounds how fast the share of requests that run outside their region changes. Answers waves and starts, where all hosts of
-//! a region would send their surplus elsewhere within a second, and fetch it back within the next.
+//! Bounds how fast the share of a service's requests that run outside their region changes, and says which requests those
+//! are. Answers regions with more callers than targets, and waves and starts, where all hosts of a region would send their
+//! surplus elsewhere within a second and fetch it back within the next.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -11,28 +12,18 @@
 const LOSS_RATE: f64 = 1.0;
 /// Time after the loss of a target of the region in which the faster change holds.
 const LOSS_TIME: Duration = Duration::from_secs(4);
-/// Weight of the latest request in the share that is wanted.
-const LATEST: f64 = 0.04;
-/// Requests by which the actual share may run ahead of or behind the allowed one.
-const MAX_LEAD: f64 = 2.0;
+/// Requests for each slot of the region from which on more is sent outside: nearly all slots are in use.
+const HIGH_PRESSURE: f64 = 0.85;
+/// Requests for each slot of the region up to which less is sent outside: a third of the slots is free.
+const LOW_PRESSURE: f64 = 0.6;
+/// Time over which the pressure is averaged: a few service times.
+const PRESSURE_MEMORY: Duration = Duration::from_millis(500);
 
-/// Where a request may run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SpillRule {
-    /// Where it is served best.
-    Free,
-    /// Only in the region.
-    Inside,
-    /// Only outside, if it can be served there.
-    Outside,
-}
-
-/// The share of a host's requests that may run outside the region.
+/// The share of a service's requests that runs outside the region of its callers.
 #[derive(Clone, Debug)]
 pub struct SpillBand {
-    allowed: f64,
-    wanted: f64,
-    lead: f64,
+    share: f64,
+    inside: f64,
     moved_at: Instant,
     lost_at: Option<Instant>,
 }
@@ -40,7 +31,7 @@
 impl SpillBand {
     /// A band that starts with all requests inside.
     pub fn new(now: Instant) -> Self {
-        Self { allowed: 0.0, wanted: 0.0, lead: 0.0, moved_at: now, lost_at: None }
+        Self { share: 0.0, inside: 0.0, moved_at: now, lost_at: None }
     }
 
     /// A target of the region was lost.
@@ -48,34 +39,34 @@
         self.lost_at = Some(now);
     }
 
-    /// Decides on a request that would be served best outside or inside.
-    pub fn rule(&mut self, is_best_outside: bool, now: Instant) -> SpillRule {
-        let wish = f64::from(u8::from(is_best_outside));
-        self.wanted += LATEST * (wish - self.wanted);
-        self.step(now);
-        match is_best_outside {
-            true if self.lead + self.allowed < 0.5 => SpillRule::Inside,
-            false if self.lead + self.allowed > 1.5 => SpillRule::Outside,
-            _ => SpillRule::Free,
-        }
+    /// Takes the requests for each slot, inside the region and outside, and moves the share.
+    pub fn observe(&mut self, inside: f64, outside: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.moved_at).as_secs_f64();
+        self.moved_at = now;
+        let weight = 1.0 - (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp();
+        self.inside += weight * (inside - self.inside);
+        let most = elapsed.min(1.0) * if self.is_loss(now) { LOSS_RATE } else { USUAL_RATE };
+        let step = match self.inside {
+            pressure if pressure > HIGH_PRESSURE && pressure > outside => most,
+            pressure if pressure < LOW_PRESSURE => -most,
+            _ => 0.0,
+        };
+        self.share = (self.share + step).clamp(0.0, 1.0);
     }
 
-    /// Counts a request that was placed.
-    pub fn placed(&mut self, is_outside: bool) {
-        let ran = f64::from(u8::from(is_outside));
-        self.lead = (self.lead + self.allowed - ran).clamp(-MAX_LEAD, MAX_LEAD);
+    /// Whether a request runs outside. `place` is a number from 0 to 1 that stays the same for an object, so that the same
+    /// objects run outside and stay warm there.
+    pub fn is_outside(&self, place: f64) -> bool {
+        place < self.share
     }
 
-    /// Share that is allowed now.
-    pub fn allowed(&self) -> f64 {
-        self.allowed
+    /// Whether requests that find no room inside may run outside at once, beyond the share.
+    pub fn is_loss(&self, now: Instant) -> bool {
+        self.lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_TIME)
     }
 
-    fn step(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.moved_at).as_secs_f64();
-        self.moved_at = now;
-        let is_loss = self.lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_TIME);
-        let most = elapsed.min(1.0) * if is_loss { LOSS_RATE } else { USUAL_RATE };
-        self.allowed += (self.wanted - self.allowed).clamp(-most, most);
+    /// Share of requests that runs outside now.
+    pub fn share(&self) -> f64 {
+        self.share
     }
 }
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -14,7 +14,6 @@
 use crate::fleet::PlacementRefusal;
 use crate::fleet::ServiceTimes;
 use crate::fleet::SpillBand;
-use crate::fleet::SpillRule;
 use crate::fleet::TargetEntry;
 use crate::fleet::TargetLoad;
 use crate::fleet::TargetState;
@@ -32,8 +31,9 @@
 const KNOWN_WARMTH: f64 = 0.95;
 /// Likelihood that an object is warm on the targets of the region that come first, second and third for it.
 const NEAR_WARMTH: [f64; 3] = [0.7, 0.3, 0.15];
-/// The same for targets of other regions.
-const FAR_WARMTH: [f64; 2] = [0.3, 0.1];
+/// The same for targets of other regions, and how much more likely it is once a quarter of the requests runs there.
+const FAR_WARMTH: [f64; 2] = [0.2, 0.05];
+const SPILLED_WARMTH: f64 = 0.4;
 /// Likelihood that an object is warm on any other target.
 const OTHER_WARMTH: f64 = 0.05;
 /// What a target in another failure domain of the region costs, in seconds: the round trip and the bytes between domains.
@@ -63,6 +63,8 @@
 const USUAL_MEMORY: Duration = Duration::from_secs(2);
 /// What a certain failure costs, in latency objectives: the time lost and the attempt.
 const FAULT_COST: f64 = 2.0;
+/// Sets the places of objects apart from their ranks on targets.
+const PLACE_SALT: u64 = 0x5a17;
 /// Weight of the latest service time in the mean of a target's slots.
 const LATEST_BUSY: f64 = 0.05;
 
@@ -93,6 +95,7 @@
     cold_rate: f64,
     cold_time: Duration,
     busy_seconds: Option<f64>,
+    band: Option<SpillBand>,
     /// Others' requests for each slot, inside and outside the region.
     others: [UsualLoad; 2],
 }
@@ -124,6 +127,14 @@
     is_outside: bool,
 }
 
+/// Requests for each slot of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct RegionPressure {
+    inside: f64,
+    outside: f64,
+    all: f64,
+}
+
 /// The targets that come first for an object, in the region and outside, by their scores.
 #[derive(Default)]
 struct KeyRanks {
@@ -141,12 +152,11 @@
     times: IndexMap<RouteId, ServiceTimes>,
     closed: IndexSet<DomainId>,
     hosts: Vec<(BoardHost, u64)>,
-    band: SpillBand,
 }
 
 impl TargetBoard {
     /// A board of a host that knows no targets.
-    pub fn new(own: BoardHost, own_region: RegionId, now: Instant) -> Self {
+    pub fn new(own: BoardHost, own_region: RegionId) -> Self {
         Self {
             hosts: Vec::new(),
             own,
@@ -155,7 +165,6 @@
             services: IndexMap::new(),
             times: IndexMap::new(),
             closed: IndexSet::new(),
-            band: SpillBand::new(now),
         }
     }
 
@@ -235,10 +244,10 @@
     /// Forgets a target; returns whether it was known.
     pub fn remove(&mut self, target: &str, now: Instant) -> bool {
         let Some(record) = self.targets.swap_remove(target) else { return false };
-        if record.entry.region == self.own_region {
-            self.band.target_lost(now);
-        }
         if let Some(service) = self.services.get_mut(&record.entry.service) {
+            if record.entry.region == self.own_region {
+                service.band.get_or_insert_with(|| SpillBand::new(now)).target_lost(now);
+            }
             service.targets.retain(|name| &**name != target);
         }
         true
@@ -269,27 +278,25 @@
         ask: &PlacementAsk<'_>,
         now: Instant,
     ) -> Result<PlacementChoice, PlacementRefusal> {
-        let candidates = self.candidates(ask, now);
-        let cheapest = |is_outside: Option<bool>| {
-            let fits = |c: &&Candidate<'_>| is_outside.is_none_or(|wanted| c.is_outside == wanted);
-            let best = candidates.iter().filter(fits).min_by(|a, b| a.cost.total_cmp(&b.cost));
-            best.copied()
+        let (candidates, pressure) = self.candidates(ask, now);
+        let cheapest = |is_outside: bool| {
+            let fits = candidates.iter().filter(|candidate| candidate.is_outside == is_outside);
+            fits.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
         };
-        let best = cheapest(None).ok_or(PlacementRefusal::NoTarget)?;
-        let mut band = self.band.clone();
-        let best = match band.rule(best.is_outside, now) {
-            SpillRule::Free => best,
-            SpillRule::Inside => cheapest(Some(false)).unwrap_or(best),
-            SpillRule::Outside => {
-                cheapest(Some(true)).filter(|other| is_worth_it(other, ask)).unwrap_or(best)
-            }
+        let (inside, outside) = (cheapest(false), cheapest(true));
+        let best = inside.or(outside).ok_or(PlacementRefusal::NoTarget)?;
+        let mut band = self.band_of(ask.service, now);
+        band.observe(pressure.inside, pressure.outside, now);
+        let may_spill = inside.is_none() || band.is_loss(now);
+        let chosen = match band.is_outside(place_of(ask.key)) {
+            true => worthy(outside, ask).or(worthy(inside, ask)),
+            false => worthy(inside, ask).or(worthy(outside, ask).filter(|_| may_spill)),
         };
-        if !is_worth_it(&best, ask) {
+        let Some(best) = chosen else {
             let wait = Duration::from_secs_f64(best.wait);
-            self.band = band;
+            self.set_band(ask.service, band);
             return Err(PlacementRefusal::Busy { wait });
-        }
-        band.placed(best.is_outside);
+        };
         let choice = PlacementChoice {
             target: best.record.entry.target.clone(),
             address: best.record.entry.address,
@@ -299,7 +306,7 @@
             wait: Duration::from_secs_f64(best.wait),
             expected: Duration::from_secs_f64(best.expected),
         };
-        self.band = band;
+        self.set_band(ask.service, band);
         self.start(&choice.target, ask.key, now);
         Ok(choice)
     }
@@ -370,8 +377,14 @@
 
     /// Targets that may run a request, with what they cost it. In a busy service the work itself costs the more, as each
     /// slot that runs a cold object is lost to several warm ones.
-    fn candidates<'a>(&'a self, ask: &PlacementAsk<'_>, now: Instant) -> Vec<Candidate<'a>> {
-        let Some(service) = self.services.get(ask.service) else { return Vec::new() };
+    fn candidates<'a>(
+        &'a self,
+        ask: &PlacementAsk<'_>,
+        now: Instant,
+    ) -> (Vec<Candidate<'a>>, RegionPressure) {
+        let Some(service) = self.services.get(ask.service) else {
+            return (Vec::new(), RegionPressure::default());
+        };
         let records: Vec<&TargetRecord> = service
             .targets
             .iter()
@@ -379,24 +392,50 @@
             .filter(|record| self.takes_requests(record) && is_allowed(record, ask))
             .collect();
         let ranks = ask.key.map(|key| self.rank(&records, key)).unwrap_or_default();
-        let (load, slots) = records.iter().fold((0.0, 0.0), |(load, slots), record| {
-            let own = f64::from(record.entry.slots);
-            (load + self.load_of(service, record, now).min(own), slots + own)
-        });
-        let pressure = if slots > 0.0 { load / slots } else { 0.0 };
+        let pressure = self.pressure(service, &records, now);
+        let spilled = service.band.as_ref().map_or(0.0, SpillBand::share);
         let mut candidates = Vec::with_capacity(records.len());
         for (index, record) in records.iter().enumerate() {
             if ask.excluded.contains(&record.entry.target) || !self.may_send(record, now) {
                 continue;
             }
             let is_warm = ask.key.is_some_and(|key| record.track.warm_keys.contains(key, now));
-            let warmth = if is_warm { KNOWN_WARMTH } else { ranks.warmth(index) };
+            let warmth = if is_warm { KNOWN_WARMTH } else { ranks.warmth(index, spilled) };
             let mut candidate = self.candidate(service, record, ask, warmth, now);
             candidate.is_warm = is_warm;
-            candidate.cost += pressure * candidate.work;
+            candidate.cost += pressure.all.min(1.0) * candidate.work;
             candidates.push(candidate);
         }
-        candidates
+        (candidates, pressure)
+    }
+
+    /// Requests for each slot of a service.
+    fn pressure(
+        &self,
+        service: &ServiceRecord,
+        records: &[&TargetRecord],
+        now: Instant,
+    ) -> RegionPressure {
+        let mut sums = [(0.0, 0.0); 2];
+        for record in records {
+            let sum = &mut sums[usize::from(record.entry.region != self.own_region)];
+            sum.0 += self.load_of(service, record, now);
+            sum.1 += f64::from(record.entry.slots);
+        }
+        let per_slot = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 0.0 };
+        let all = (sums[0].0 + sums[1].0, sums[0].1 + sums[1].1);
+        RegionPressure { inside: per_slot(sums[0]), outside: per_slot(sums[1]), all: per_slot(all) }
+    }
+
+    fn band_of(&self, service: &ServiceId, now: Instant) -> SpillBand {
+        let known = self.services.get(service).and_then(|service| service.band.clone());
+        known.unwrap_or_else(|| SpillBand::new(now))
+    }
+
+    fn set_band(&mut self, service: &ServiceId, band: SpillBand) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.band = Some(band);
+        }
     }
 
     /// Requests of all hosts on a target, as far as known.
@@ -523,16 +562,19 @@
     !is_hopeless && (is_timely || candidate.wait <= part(LATE_WAIT_PART))
 }
 
+fn worthy<'a>(side: Option<Candidate<'a>>, ask: &PlacementAsk<'_>) -> Option<Candidate<'a>> {
+    side.filter(|found| is_worth_it(found, ask))
+}
+
 impl KeyRanks {
     /// Likelihood that the object is warm on the target with an index.
-    fn warmth(&self, index: usize) -> f64 {
+    fn warmth(&self, index: usize, spilled: f64) -> f64 {
         let place = |ranks: &[(u64, usize)], warmth: &[f64]| {
             let found = ranks.iter().position(|(score, at)| *score > 0 && *at == index);
             found.and_then(|rank| warmth.get(rank).copied())
         };
-        place(&self.near, &NEAR_WARMTH)
-            .or_else(|| place(&self.far, &FAR_WARMTH))
-            .unwrap_or(OTHER_WARMTH)
+        let far = FAR_WARMTH.map(|warmth| warmth + SPILLED_WARMTH * (spilled * 4.0).min(1.0));
+        place(&self.near, &NEAR_WARMTH).or_else(|| place(&self.far, &far)).unwrap_or(OTHER_WARMTH)
     }
 }
 
@@ -545,6 +587,12 @@
     }
 }
 
+/// Place of an object between 0 and 1, the same on all hosts; random for a request that concerns none.
+fn place_of(key: Option<u64>) -> f64 {
+    let hash = key.map_or_else(rand::random, |key| mix(PLACE_SALT, key));
+    hash as f64 / u64::MAX as f64
+}
+
 /// Mixes two hashes into one (the finalizer of SplitMix64).
 fn mix(a: u64, b: u64) -> u64 {
     let mut mixed = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -21,7 +21,6 @@
 use coordination::fleet::QuotaLedger;
 use coordination::fleet::RouteSplit;
 use coordination::fleet::SpillBand;
-use coordination::fleet::SpillRule;
 use coordination::fleet::TargetBoard;
 use coordination::fleet::TargetLoad;
 use coordination::fleet::TargetState;
@@ -188,32 +187,23 @@
         }
     }
 
-    /// The platform allows a change of 0.15 between windows of two seconds; 0.05 is for chance.
+    /// The platform allows a change of 0.15 between windows of two seconds.
     #[test]
-    fn spill_changes_slowly_whatever_is_wanted(
-        wishes in prop::collection::vec(any::<bool>(), 8), per_second in 20_u64..200,
+    fn spill_changes_slowly_whatever_the_pressure(
+        pressures in prop::collection::vec(0.0..3.0_f64, 10), per_second in 20_u64..200,
     ) {
         let start = Instant::now();
         let mut band = SpillBand::new(start);
         let mut shares = Vec::new();
-        for (second, wish) in wishes.iter().flat_map(|wish| [wish, wish, wish]).enumerate() {
-            let mut outside = 0;
+        for (second, pressure) in pressures.iter().flat_map(|one| [one, one]).enumerate() {
             for request in 0..per_second {
                 let at = second as u64 * 1_000 + request * 1_000 / per_second;
-                let rule = band.rule(*wish, start + Duration::from_millis(at));
-                let is_outside = match rule {
-                    SpillRule::Free => *wish,
-                    SpillRule::Inside => false,
-                    SpillRule::Outside => true,
-                };
-                band.placed(is_outside);
-                outside += u64::from(is_outside);
+                band.observe(*pressure, 0.1, start + Duration::from_millis(at));
             }
-            shares.push(outside as f64 / per_second as f64);
+            shares.push(band.share());
         }
-        let windows: Vec<f64> = shares.windows(2).map(|pair| (pair[0] + pair[1]) / 2.0).collect();
-        for pair in windows.windows(3) {
-            prop_assert!((pair[2] - pair[0]).abs() <= 0.20, "{shares:?}");
+        for pair in shares.windows(3) {
+            prop_assert!((pair[2] - pair[0]).abs() <= 0.15, "{shares:?}");
         }
     }
 }
@@ -236,11 +226,26 @@
     a_lost_target_lets_spill_move_at_once: |now: Instant| {
         let mut band = SpillBand::new(now);
         band.target_lost(now);
-        for request in 0..100 {
-            let rule = band.rule(true, now + Duration::from_millis(request * 10));
-            band.placed(rule != SpillRule::Inside);
+        for step in 0..100 {
+            band.observe(1.5, 0.1, now + Duration::from_millis(step * 10));
         }
-        assert!(band.allowed() > 0.5, "{}", band.allowed());
+        assert!(band.share() > 0.5, "{}", band.share());
+    };
+    spill_returns_when_the_region_has_room: |now: Instant| {
+        let mut band = SpillBand::new(now);
+        for step in 0..2_000 {
+            let pressure = if step < 800 { 1.2 } else { 0.2 };
+            band.observe(pressure, 0.1, now + Duration::from_millis(step * 10));
+        }
+        assert_eq!(band.share(), 0.0);
+    };
+    the_same_objects_run_outside: |now: Instant| {
+        let mut band = SpillBand::new(now);
+        for step in 0..600 {
+            band.observe(1.2, 0.1, now + Duration::from_millis(step * 10));
+        }
+        let share = band.share();
+        assert!(share > 0.2 && band.is_outside(share / 2.0) && !band.is_outside(share * 1.1));
     };
     hosts_of_a_region_send_an_object_to_the_same_target: |now| {
         let mut boards = [board("h1", "d1", "r1", now), board("h2", "d2", "r1", now)];
--- a/crates/coordination/tests/support/fleet_parts.rs
+++ b/crates/coordination/tests/support/fleet_parts.rs
@@ -55,7 +55,7 @@
 /// A board of a host with twelve targets in three regions of two failure domains.
 pub fn board(host: &str, domain: &str, region: &str, now: Instant) -> TargetBoard {
     let own = BoardHost { host: host.into(), failure_domain: domain.into() };
-    let mut board = TargetBoard::new(own, region.into(), now);
+    let mut board = TargetBoard::new(own, region.into());
     for number in 1..=12 {
         let place = (number - 1) % 6;
         let (domain, region) = (format!("d{}", place + 1), format!("r{}", place / 2 + 1));
@@ -67,7 +67,7 @@
 /// A board of a host with one target, which is cold. A host that does not see all hosts sees itself only.
 pub fn cold_board(host: &str, all: &[String], sees_all: bool, now: Instant) -> TargetBoard {
     let place = |name: &str| BoardHost { host: name.into(), failure_domain: "d1".into() };
-    let mut board = TargetBoard::new(place(host), "r1".into(), now);
+    let mut board = TargetBoard::new(place(host), "r1".into());
     let service = ("service".into(), 9.2, Duration::from_secs(30));
     board.set_services([service].into_iter());
     board.put(TargetEntry { cold_for: Duration::from_secs(30), ..entry("t", "d1", "r1") }, now);
