--- a/crates/coordination/src/fleet/spill_band.rs
+++ b/crates/coordination/src/fleet/spill_band.rs
@@ -19,11 +19,17 @@
 /// Time over which the pressure is averaged: a few service times.
 const PRESSURE_MEMORY: Duration = Duration::from_millis(500);
 
+/// Weight of the latest decision in the share of requests that are refused.
+const LATEST_DECISION: f64 = 0.03;
+/// Least share of requests that counts as served, so that pressure stays bounded.
+const MIN_SERVED: f64 = 0.1;
+
 /// The share of a service's requests that runs outside the region of its callers.
 #[derive(Clone, Debug)]
 pub struct SpillBand {
     share: f64,
     inside: f64,
+    refused: f64,
     moved_at: Instant,
     lost_at: Option<Instant>,
 }
@@ -31,7 +37,7 @@
 impl SpillBand {
     /// A band that starts with all requests inside.
     pub fn new(now: Instant) -> Self {
-        Self { share: 0.0, inside: 0.0, moved_at: now, lost_at: None }
+        Self { share: 0.0, inside: 0.0, refused: 0.0, moved_at: now, lost_at: None }
     }
 
     /// A target of the region was lost.
@@ -39,12 +45,18 @@
         self.lost_at = Some(now);
     }
 
+    /// A request that was to run inside was refused or not. Refused requests are pressure too, though they fill no slot.
+    pub fn decided(&mut self, is_refused: bool) {
+        self.refused += LATEST_DECISION * (f64::from(u8::from(is_refused)) - self.refused);
+    }
+
     /// Takes the requests for each slot, inside the region and outside, and moves the share.
     pub fn observe(&mut self, inside: f64, outside: f64, now: Instant) {
+        let offered = inside / (1.0 - self.refused).max(MIN_SERVED);
         let elapsed = now.saturating_duration_since(self.moved_at).as_secs_f64();
         self.moved_at = now;
         let weight = 1.0 - (-elapsed / PRESSURE_MEMORY.as_secs_f64()).exp();
-        self.inside += weight * (inside - self.inside);
+        self.inside += weight * (offered - self.inside);
         let most = elapsed.min(1.0) * if self.is_loss(now) { LOSS_RATE } else { USUAL_RATE };
         let step = match self.inside {
             pressure if pressure > HIGH_PRESSURE && pressure > outside => most,
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -288,10 +288,14 @@
         let mut band = self.band_of(ask.service, now);
         band.observe(pressure.inside, pressure.outside, now);
         let may_spill = inside.is_none() || band.is_loss(now);
-        let chosen = match band.is_outside(place_of(ask.key)) {
+        let goes_outside = band.is_outside(place_of(ask.key));
+        let chosen = match goes_outside {
             true => worthy(outside, ask).or(worthy(inside, ask)),
             false => worthy(inside, ask).or(worthy(outside, ask).filter(|_| may_spill)),
         };
+        if !goes_outside {
+            band.decided(chosen.is_none());
+        }
         let Some(best) = chosen else {
             let wait = Duration::from_secs_f64(best.wait);
             self.set_band(ask.service, band);
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -239,6 +239,14 @@
         }
         assert_eq!(band.share(), 0.0);
     };
+    refused_requests_are_pressure_too: |now: Instant| {
+        let mut band = SpillBand::new(now);
+        for step in 0..600 {
+            band.decided(step % 2 == 0);
+            band.observe(0.8, 0.8, now + Duration::from_millis(step * 10));
+        }
+        assert!(band.share() > 0.2, "{}", band.share());
+    };
     the_same_objects_run_outside: |now: Instant| {
         let mut band = SpillBand::new(now);
         for step in 0..600 {
