--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of an entry host, in the text format that scrapers read.
 
+use std::borrow::Cow;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
@@ -28,8 +29,8 @@
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
-    route: String,
-    outcome: String,
+    route: Cow<'static, str>,
+    outcome: Cow<'static, str>,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -95,8 +96,8 @@
     /// Counts a request that ended.
     pub fn request(&self, count: &RequestCount<'_>) {
         let labels = RouteLabels {
-            route: self.label(count.route).into(),
-            outcome: self.label(count.outcome).into(),
+            route: Cow::Owned(self.label(count.route).into()),
+            outcome: Cow::Owned(self.label(count.outcome).into()),
         };
         self.requests.get_or_create(&labels).inc();
         self.request_seconds.observe(count.took.as_secs_f64());
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -11,30 +11,19 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use coordination::fleet::BoardHost;
-use coordination::fleet::EntryChange;
 use coordination::fleet::HostNews;
 use coordination::fleet::HostPhase;
-use coordination::fleet::HostRoster;
-use coordination::fleet::QuotaLedger;
-use coordination::fleet::RouteSplit;
-use coordination::fleet::TargetBoard;
-use coordination::fleet::TargetEntry;
 use coordination::ids::DomainId;
 use coordination::ids::HostId;
 use coordination::ids::Incarnation;
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use coordination::ids::RouteId;
-use coordination::ids::ServiceId;
-use coordination::ids::TargetId;
-use coordination::retry_budget::RetryBudget;
-use indexmap::IndexMap;
-use indexmap::IndexSet;
 use spdlog::info;
 use tokio::sync::watch;
 
-use crate::entry::ChangeHistory;
 use crate::entry::EntryConfiguration;
+use crate::entry::EntryCore;
 use crate::entry::EntryMetrics;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
@@ -42,10 +31,6 @@
 use crate::settings::EntryBounds;
 use crate::settings::EntrySettings;
 
-/// Time for which a target whose entry vanished around an outage of the store may come back; the platform says that
-/// entries of living targets are back about two seconds after the store's return.
-const RETURN_TIME: Duration = Duration::from_millis(2_000);
-
 /// Other hosts heard from which on the fleet is large. Below it each host follows the store by itself.
 const LARGE_FLEET: usize = 16;
 /// Hosts of a region that follow the store in a large fleet: one, and one that stands by.
@@ -93,26 +78,6 @@
     }
 }
 
-/// What an entry host knows and decides by, under one lock that is never held over a wait.
-pub struct EntryCore {
-    /// Targets.
-    pub board: TargetBoard,
-    /// Parts of the customers' limits.
-    pub quotas: QuotaLedger,
-    /// Other hosts.
-    pub roster: HostRoster,
-    retries: IndexMap<ServiceId, RetryBudget>,
-    splits: IndexMap<RouteId, RouteSplit>,
-    closed: IndexSet<DomainId>,
-    vanished: IndexMap<TargetId, Instant>,
-    applied: [Revision; StatePart::ALL.len()],
-    histories: [ChangeHistory; StatePart::ALL.len()],
-    has_targets: bool,
-    unreached: [bool; StatePart::ALL.len()],
-    beat: u64,
-    phase: HostPhase,
-}
-
 /// What an entry host knows.
 pub struct EntryState {
     own: EntryIdentity,
@@ -127,23 +92,7 @@
 impl EntryState {
     /// The state of a host that knows nothing yet.
     pub fn new(own: EntryIdentity, settings: EntrySettings) -> Arc<Self> {
-        let board_host =
-            BoardHost { host: own.host.clone(), failure_domain: own.failure_domain.clone() };
-        let core = EntryCore {
-            board: TargetBoard::new(board_host, own.region.clone()),
-            quotas: QuotaLedger::default(),
-            roster: HostRoster::default(),
-            retries: IndexMap::new(),
-            splits: IndexMap::new(),
-            closed: IndexSet::new(),
-            vanished: IndexMap::new(),
-            applied: [0; StatePart::ALL.len()],
-            histories: Default::default(),
-            has_targets: false,
-            unreached: [false; StatePart::ALL.len()],
-            beat: 0,
-            phase: HostPhase::Starting,
-        };
+        let core = Mutex::new(EntryCore::new(&own));
         Arc::new(Self {
             own,
             metrics: EntryMetrics::default(),
@@ -151,7 +100,7 @@
             settings,
             configuration: ArcSwapOption::empty(),
             changed: watch::Sender::new(0),
-            core: Mutex::new(core),
+            core,
         })
     }
 
@@ -415,82 +364,6 @@
     }
 }
 
-impl EntryCore {
-    /// Revision of the latest change of a part that was applied.
-    pub fn applied(&self, part: StatePart) -> Revision {
-        self.applied[part as usize]
-    }
-
-    /// Whether the host leaves.
-    pub fn is_leaving(&self) -> bool {
-        self.phase == HostPhase::Leaving
-    }
-
-    /// The next service of a route's split.
-    pub fn draw_service(&mut self, route: &RouteId, weights: &[f64]) -> Option<usize> {
-        match weights {
-            [] => None,
-            [_] => Some(0),
-            _ => self.splits.entry(route.clone()).or_default().draw(weights),
-        }
-    }
-
-    /// Retries of a service.
-    pub fn retries(&mut self, service: &ServiceId) -> &mut RetryBudget {
-        self.retries.entry(service.clone()).or_default()
-    }
-
-    fn put_target(&mut self, entry: TargetEntry, now: Instant) {
-        self.vanished.shift_remove(&entry.target);
-        let (target, state) = (entry.target.clone(), entry.state);
-        let (service, domain) = (entry.service.clone(), entry.failure_domain.clone());
-        match self.board.put(entry, now) {
-            EntryChange::Same => {}
-            change => info!("target entry applied", kv: {
-                target:, service:, failure_domain: = domain, state:?, change:?
-            }),
-        }
-    }
-
-    fn target_gone(&mut self, target: TargetId, is_outage: bool, now: Instant) {
-        match is_outage && self.board.is_open(&target) {
-            true => {
-                info!("target may come back", kv: { target: });
-                self.vanished.entry(target).or_insert(now + RETURN_TIME);
-            }
-            false if self.board.remove(&target, now) => info!("target is gone", kv: { target: }),
-            false => {}
-        }
-    }
-
-    fn retain_targets(&mut self, changes: &[StateChange], is_outage: bool, now: Instant) {
-        let listed: IndexSet<&str> = changes
-            .iter()
-            .filter_map(|change| match change {
-                StateChange::Target(entry) => Some(&*entry.target),
-                _ => None,
-            })
-            .collect();
-        let missing = self.board.names().filter(|name| !listed.contains(&***name)).cloned();
-        for target in missing.collect::<Vec<_>>() {
-            self.target_gone(target, is_outage, now);
-        }
-    }
-
-    fn drop_vanished(&mut self, now: Instant) {
-        let due: Vec<TargetId> = self
-            .vanished
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in due {
-            self.vanished.shift_remove(&target);
-            self.target_gone(target, false, now);
-        }
-    }
-}
-
 fn board_host(news: &HostNews) -> BoardHost {
     BoardHost { host: news.host.clone(), failure_domain: news.failure_domain.clone() }
 }
--- /dev/null
+++ b/crates/coordination/src/fleet/service_record.rs
@@ -0,0 +1,53 @@
+//! What is known of one service's requests.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fleet::SpillBand;
+use crate::ids::TargetId;
+
+/// Weight of the latest report in what others usually have on a target.
+const LATEST_USUAL: f64 = 0.05;
+/// Time without any report in which that is forgotten, so that a host that refused all for a while tries again.
+const USUAL_MEMORY: Duration = Duration::from_secs(2);
+/// Weight of the latest service time in the mean of a target's slots.
+const LATEST_BUSY: f64 = 0.05;
+
+/// What is known of one service's requests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceRecord {
+    pub(super) targets: Vec<TargetId>,
+    pub(super) cold_rate: f64,
+    pub(super) cold_time: Duration,
+    pub(super) busy_seconds: Option<f64>,
+    pub(super) band: Option<SpillBand>,
+    /// Others' requests for each slot, inside and outside the region.
+    pub(super) others: [UsualLoad; 2],
+}
+
+/// Moving average of what other hosts have on a target for each of its slots; forgotten without reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct UsualLoad {
+    per_slot: f64,
+    at: Option<Instant>,
+}
+
+impl UsualLoad {
+    pub(super) fn per_slot(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.per_slot * (-age.as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp()
+    }
+
+    pub(super) fn add(&mut self, per_slot: f64, now: Instant) {
+        let known = self.per_slot(now);
+        *self = Self { per_slot: known + LATEST_USUAL * (per_slot - known), at: Some(now) };
+    }
+}
+
+impl ServiceRecord {
+    pub(super) fn add_busy(&mut self, time: Duration) {
+        let seconds = time.as_secs_f64();
+        let known = self.busy_seconds.unwrap_or(seconds);
+        self.busy_seconds = Some(known + LATEST_BUSY * (seconds - known));
+    }
+}
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -18,6 +18,12 @@
 use crate::fleet::TargetLoad;
 use crate::fleet::TargetState;
 use crate::fleet::TargetTrack;
+use crate::fleet::placement_candidate::Candidate;
+use crate::fleet::placement_candidate::KeyRanks;
+use crate::fleet::placement_candidate::RegionPressure;
+use crate::fleet::placement_candidate::insert_rank;
+use crate::fleet::placement_candidate::worthy;
+use crate::fleet::service_record::ServiceRecord;
 use crate::ids::DomainId;
 use crate::ids::HostId;
 use crate::ids::RegionId;
@@ -29,44 +35,21 @@
 
 /// Likelihood that an object is warm on a target that this host sent it to lately.
 const KNOWN_WARMTH: f64 = 0.95;
-/// Likelihood that an object is warm on the targets of the region that come first, second and third for it.
-const NEAR_WARMTH: [f64; 3] = [0.7, 0.3, 0.15];
-/// The same for targets of other regions, and how much more likely it is once a quarter of the requests runs there.
-const FAR_WARMTH: [f64; 2] = [0.2, 0.05];
-const SPILLED_WARMTH: f64 = 0.4;
-/// Likelihood that an object is warm on any other target.
-const OTHER_WARMTH: f64 = 0.05;
 /// What a target in another failure domain of the region costs, in seconds: the round trip and the bytes between domains.
 const OTHER_DOMAIN_COST: f64 = 0.004;
 /// What a target in another region costs, in seconds: the round trip of 24 to 40 ms and the bytes between regions.
 const OTHER_REGION_COST: f64 = 0.070;
 /// Round trip to another region, in seconds, as part of the time until the answer.
 const OTHER_REGION_TRIP: f64 = 0.035;
-/// Part of the latency objective that an answer may be expected to take for its wait to be of no concern.
-const TIMELY_PART: f64 = 0.95;
-/// Longest wait, as a part of the latency objective, of a request that will miss the objective: it holds a slot that
-/// others could use in time.
-const LATE_WAIT_PART: f64 = 0.25;
-/// What each rank below the highest takes off both.
-const PART_PER_RANK: f64 = 0.05;
-const MIN_PART: f64 = 0.1;
-/// Part of the time left that an answer may be expected to take; the rest covers what the estimate misses.
-const USABLE_TIME: f64 = 0.9;
 /// Hosts that may send to a cold target.
 const COLD_SENDERS: usize = 2;
 /// Part of a cold target's rate that the senders use together. Two that disagree with two others on who sends stay within
 /// what the platform tolerates (half as much again and 5): each sends its part and one request beyond it.
 const COLD_RATE_PART: f64 = 0.75;
-/// Weight of the latest report in what others usually have on a target.
-const LATEST_USUAL: f64 = 0.05;
-/// Time without any report in which that is forgotten, so that a host that refused all for a while tries again.
-const USUAL_MEMORY: Duration = Duration::from_secs(2);
 /// What a certain failure costs, in latency objectives: the time lost and the attempt.
 const FAULT_COST: f64 = 2.0;
 /// Sets the places of objects apart from their ranks on targets.
 const PLACE_SALT: u64 = 0x5a17;
-/// Weight of the latest service time in the mean of a target's slots.
-const LATEST_BUSY: f64 = 0.05;
 
 /// A host as placement sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -88,60 +71,14 @@
     Started,
 }
 
-/// What is known of one service's requests.
-#[derive(Clone, Debug, Default)]
-struct ServiceRecord {
-    targets: Vec<TargetId>,
-    cold_rate: f64,
-    cold_time: Duration,
-    busy_seconds: Option<f64>,
-    band: Option<SpillBand>,
-    /// Others' requests for each slot, inside and outside the region.
-    others: [UsualLoad; 2],
-}
-
-/// Moving average of what other hosts have on a target for each of its slots; forgotten without reports.
-#[derive(Clone, Copy, Debug, Default)]
-struct UsualLoad {
-    per_slot: f64,
-    at: Option<Instant>,
-}
-
+/// One target with what is known of it.
 #[derive(Clone, Debug)]
-struct TargetRecord {
+pub(super) struct TargetRecord {
     entry: TargetEntry,
     salt: u64,
     track: TargetTrack,
 }
 
-/// One target as a request sees it.
-#[derive(Clone, Copy)]
-struct Candidate<'a> {
-    record: &'a TargetRecord,
-    load: f64,
-    wait: f64,
-    work: f64,
-    expected: f64,
-    cost: f64,
-    is_warm: bool,
-    is_outside: bool,
-}
-
-/// Requests for each slot of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct RegionPressure {
-    inside: f64,
-    outside: f64,
-    all: f64,
-}
-
-/// The targets that come first for an object, in the region and outside, by their scores.
-#[derive(Default)]
-struct KeyRanks {
-    near: [(u64, usize); NEAR_WARMTH.len()],
-    far: [(u64, usize); FAR_WARMTH.len()],
-}
-
 /// The targets known to a host, and the choice among them.
 #[derive(Clone, Debug)]
 pub struct TargetBoard {
@@ -532,65 +469,10 @@
     }
 }
 
-impl UsualLoad {
-    fn per_slot(&self, now: Instant) -> f64 {
-        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.per_slot * (-age.as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, per_slot: f64, now: Instant) {
-        let known = self.per_slot(now);
-        *self = Self { per_slot: known + LATEST_USUAL * (per_slot - known), at: Some(now) };
-    }
-}
-
-impl ServiceRecord {
-    fn add_busy(&mut self, time: Duration) {
-        let seconds = time.as_secs_f64();
-        let known = self.busy_seconds.unwrap_or(seconds);
-        self.busy_seconds = Some(known + LATEST_BUSY * (seconds - known));
-    }
-}
-
 fn is_allowed(record: &TargetRecord, ask: &PlacementAsk<'_>) -> bool {
     ask.regions.is_empty() || ask.regions.contains(&record.entry.region)
 }
 
-/// Whether a request is run at all: its answer is expected in time, or it takes a slot that nobody waits for.
-fn is_worth_it(candidate: &Candidate<'_>, ask: &PlacementAsk<'_>) -> bool {
-    let objective = ask.objective.as_secs_f64();
-    let less = PART_PER_RANK * f64::from(ask.priority);
-    let part = |most: f64| (most - less).max(MIN_PART) * objective;
-    let is_timely = candidate.expected <= part(TIMELY_PART);
-    let is_hopeless = candidate.expected > ask.time_left.as_secs_f64() * USABLE_TIME;
-    !is_hopeless && (is_timely || candidate.wait <= part(LATE_WAIT_PART))
-}
-
-fn worthy<'a>(side: Option<Candidate<'a>>, ask: &PlacementAsk<'_>) -> Option<Candidate<'a>> {
-    side.filter(|found| is_worth_it(found, ask))
-}
-
-impl KeyRanks {
-    /// Likelihood that the object is warm on the target with an index.
-    fn warmth(&self, index: usize, spilled: f64) -> f64 {
-        let place = |ranks: &[(u64, usize)], warmth: &[f64]| {
-            let found = ranks.iter().position(|(score, at)| *score > 0 && *at == index);
-            found.and_then(|rank| warmth.get(rank).copied())
-        };
-        let far = FAR_WARMTH.map(|warmth| warmth + SPILLED_WARMTH * (spilled * 4.0).min(1.0));
-        place(&self.near, &NEAR_WARMTH).or_else(|| place(&self.far, &far)).unwrap_or(OTHER_WARMTH)
-    }
-}
-
-/// Puts a score among the highest, best first.
-fn insert_rank(ranks: &mut [(u64, usize)], mut entry: (u64, usize)) {
-    for rank in ranks {
-        if entry.0 > rank.0 {
-            std::mem::swap(rank, &mut entry);
-        }
-    }
-}
-
 /// Place of an object between 0 and 1, the same on all hosts; random for a request that concerns none.
 fn place_of(key: Option<u64>) -> f64 {
     let hash = key.map_or_else(rand::random, |key| mix(PLACE_SALT, key));
--- a/crates/coordination/tests/support/overload_model.rs
+++ b/crates/coordination/tests/support/overload_model.rs
@@ -111,18 +111,7 @@
     let steps = (seconds / STEP.as_secs_f64()) as u32;
     for step in 0..steps {
         let (time, now) = (f64::from(step) * STEP.as_secs_f64(), start + STEP * step);
-        for target in &mut targets {
-            for (request, load) in target.advance(time, &mut rng) {
-                let took = time - request.arrived;
-                let is_timely = took <= OBJECTIVE;
-                report.timely += u32::from(is_timely);
-                report.late += u32::from(!is_timely);
-                by_region[request.region].1 += u32::from(is_timely);
-                let end = AttemptEnd::Answered { time: Duration::from_secs_f64(took) };
-                let board = &mut hosts[request.host].1;
-                board.finished(&request.choice, &"route".into(), end, Some(load), now);
-            }
-        }
+        end_requests(&mut targets, &mut hosts, &mut report, &mut by_region, (time, now), &mut rng);
         for region in 0..REGIONS.len() {
             let phase = region as f64 / REGIONS.len() as f64;
             let swing = 1.0 + SWING * (std::f64::consts::TAU * (time / PERIOD + phase)).sin();
@@ -158,6 +147,29 @@
     report
 }
 
+/// Ends the requests that are done, and tells the hosts that sent them.
+fn end_requests(
+    targets: &mut [ModelTarget],
+    hosts: &mut [(BoardHost, TargetBoard)],
+    report: &mut ModelReport,
+    by_region: &mut [(u32, u32)],
+    (time, now): (f64, Instant),
+    rng: &mut impl Rng,
+) {
+    for target in targets {
+        for (request, load) in target.advance(time, rng) {
+            let took = time - request.arrived;
+            let is_timely = took <= OBJECTIVE;
+            report.timely += u32::from(is_timely);
+            report.late += u32::from(!is_timely);
+            by_region[request.region].1 += u32::from(is_timely);
+            let end = AttemptEnd::Answered { time: Duration::from_secs_f64(took) };
+            let board = &mut hosts[request.host].1;
+            board.finished(&request.choice, &"route".into(), end, Some(load), now);
+        }
+    }
+}
+
 fn place(
     way: Way,
     board: &mut TargetBoard,
