--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -285,6 +285,7 @@
             wait: trail.wait,
             sent: trail.sent,
         });
+        let pause = result.as_ref().err().and_then(|refusal| refusal.retry_after);
         let message = match result {
             Ok(response) if response.status().is_success() => ROUTINE_MESSAGE,
             _ => "request not served",
@@ -298,6 +299,7 @@
             tries = trail.tries,
             sent = trail.sent,
             wait_ms = trail.wait.as_millis() as u64,
+            pause_ms = pause.unwrap_or_default().as_millis() as u64,
             load = trail.load,
             object = facts.object.unwrap_or_default(),
             is_warm = trail.is_warm,
--- /dev/null
+++ b/crates/coordination/src/fleet/board_view.rs
@@ -0,0 +1,152 @@
+//! The board as one request sees it: which targets may run it, and what each costs.
+
+use std::time::Instant;
+
+use crate::fleet::PlacementAsk;
+use crate::fleet::SpillBand;
+use crate::fleet::TargetBoard;
+use crate::fleet::placement_candidate::Candidate;
+use crate::fleet::placement_candidate::KeyRanks;
+use crate::fleet::placement_candidate::RegionPressure;
+use crate::fleet::placement_candidate::insert_rank;
+use crate::fleet::service_record::ServiceRecord;
+use crate::fleet::target_board::TargetRecord;
+use crate::fleet::target_board::is_allowed;
+use crate::fleet::target_board::mix;
+use crate::ids::ServiceId;
+
+/// Likelihood that an object is warm on a target that this host sent it to lately.
+const KNOWN_WARMTH: f64 = 0.95;
+/// What a target in another failure domain of the region costs, in seconds: the round trip and the bytes between domains.
+const OTHER_DOMAIN_COST: f64 = 0.004;
+/// What a target in another region costs, in seconds: the round trip of 24 to 40 ms and the bytes between regions.
+const OTHER_REGION_COST: f64 = 0.070;
+/// Round trip to another region, in seconds, as part of the time until the answer.
+const OTHER_REGION_TRIP: f64 = 0.035;
+/// What a certain failure costs, in latency objectives: the time lost and the attempt.
+const FAULT_COST: f64 = 2.0;
+
+impl TargetBoard {
+    /// Targets that may run a request, with what they cost it. In a busy service the work itself costs the more, as each
+    /// slot that runs a cold object is lost to several warm ones.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        ask: &PlacementAsk<'_>,
+        now: Instant,
+    ) -> (Vec<Candidate<'a>>, RegionPressure) {
+        let Some(service) = self.services.get(ask.service) else {
+            return (Vec::new(), RegionPressure::default());
+        };
+        let records: Vec<&TargetRecord> = service
+            .targets
+            .iter()
+            .filter_map(|name| self.targets.get(name))
+            .filter(|record| self.takes_requests(record) && is_allowed(record, ask))
+            .collect();
+        let ranks = ask.key.map(|key| self.rank(&records, key)).unwrap_or_default();
+        let pressure = self.pressure(service, &records, now);
+        let spilled = service.band.as_ref().map_or(0.0, SpillBand::share);
+        let mut candidates = Vec::with_capacity(records.len());
+        for (index, record) in records.iter().enumerate() {
+            if ask.excluded.contains(&record.entry.target) || !self.may_send(record, now) {
+                continue;
+            }
+            let is_warm = ask.key.is_some_and(|key| record.track.warm_keys.contains(key, now));
+            let warmth = if is_warm { KNOWN_WARMTH } else { ranks.warmth(index, spilled) };
+            let mut candidate = self.candidate(service, record, ask, warmth, now);
+            candidate.is_warm = is_warm;
+            candidate.cost += pressure.all.min(1.0) * candidate.work;
+            candidates.push(candidate);
+        }
+        (candidates, pressure)
+    }
+
+    /// Requests for each slot of a service.
+    pub(super) fn pressure(
+        &self,
+        service: &ServiceRecord,
+        records: &[&TargetRecord],
+        now: Instant,
+    ) -> RegionPressure {
+        let mut sums = [(0.0, 0.0); 2];
+        for record in records {
+            let sum = &mut sums[usize::from(record.entry.region != self.own_region)];
+            sum.0 += self.load_of(service, record, now);
+            sum.1 += f64::from(record.entry.slots);
+        }
+        let per_slot = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 0.0 };
+        let all = (sums[0].0 + sums[1].0, sums[0].1 + sums[1].1);
+        RegionPressure { inside: per_slot(sums[0]), outside: per_slot(sums[1]), all: per_slot(all) }
+    }
+
+    pub(super) fn band_of(&self, service: &ServiceId, now: Instant) -> SpillBand {
+        let known = self.services.get(service).and_then(|service| service.band.clone());
+        known.unwrap_or_else(|| SpillBand::new(now))
+    }
+
+    pub(super) fn set_band(&mut self, service: &ServiceId, band: SpillBand) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.band = Some(band);
+        }
+    }
+
+    /// Requests of all hosts on a target, as far as known.
+    pub(super) fn load_of(
+        &self,
+        service: &ServiceRecord,
+        record: &TargetRecord,
+        now: Instant,
+    ) -> f64 {
+        let usual = &service.others[usize::from(record.entry.region != self.own_region)];
+        let slots = record.entry.slots;
+        record.track.load(slots, usual.per_slot(now) * f64::from(slots), now)
+    }
+
+    /// Ranks targets for an object by scores that are the same on all hosts.
+    pub(super) fn rank(&self, records: &[&TargetRecord], key: u64) -> KeyRanks {
+        let mut ranks = KeyRanks::default();
+        for (index, record) in records.iter().enumerate() {
+            let score = mix(record.salt, key);
+            match record.entry.region == self.own_region {
+                true => insert_rank(&mut ranks.near, (score, index)),
+                false => insert_rank(&mut ranks.far, (score, index)),
+            }
+        }
+        ranks
+    }
+
+    pub(super) fn candidate<'a>(
+        &self,
+        service: &ServiceRecord,
+        record: &'a TargetRecord,
+        ask: &PlacementAsk<'_>,
+        warmth: f64,
+        now: Instant,
+    ) -> Candidate<'a> {
+        let track = &record.track;
+        let times = self.times.get(ask.route).copied().unwrap_or_default();
+        let work = times.expected(warmth, ask.objective) * track.speed;
+        let slots = record.entry.slots.max(1);
+        let load = self.load_of(service, record, now);
+        let excess = (load + 1.0 - f64::from(slots)).max(0.0);
+        let busy = service.busy_seconds.unwrap_or(work) * track.speed;
+        let wait = excess / f64::from(slots) * busy;
+        let is_outside = record.entry.region != self.own_region;
+        let (trip, distance) = match is_outside {
+            true => (OTHER_REGION_TRIP, OTHER_REGION_COST),
+            false if record.entry.failure_domain == self.own.failure_domain => (0.0, 0.0),
+            false => (0.0, OTHER_DOMAIN_COST),
+        };
+        let faults = track.faults.share(now) * ask.objective.as_secs_f64() * FAULT_COST;
+        Candidate {
+            record,
+            load,
+            wait,
+            work,
+            expected: work + wait + trip,
+            cost: work + wait + distance + faults,
+            is_warm: false,
+            is_outside,
+        }
+    }
+}
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Parts of an entry host that decides alone: the roster of hosts, shares of customers' rates, and placement of requests
 //! on targets under overload.
 
+mod board_view;
 mod customer_share;
 mod fault_estimate;
 mod host_news;
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -18,10 +18,6 @@
 use crate::fleet::TargetLoad;
 use crate::fleet::TargetState;
 use crate::fleet::TargetTrack;
-use crate::fleet::placement_candidate::Candidate;
-use crate::fleet::placement_candidate::KeyRanks;
-use crate::fleet::placement_candidate::RegionPressure;
-use crate::fleet::placement_candidate::insert_rank;
 use crate::fleet::placement_candidate::worthy;
 use crate::fleet::service_record::ServiceRecord;
 use crate::ids::DomainId;
@@ -33,21 +29,11 @@
 use crate::rendezvous::rendezvous_score;
 use crate::token_bucket::MICRO_TOKENS;
 
-/// Likelihood that an object is warm on a target that this host sent it to lately.
-const KNOWN_WARMTH: f64 = 0.95;
-/// What a target in another failure domain of the region costs, in seconds: the round trip and the bytes between domains.
-const OTHER_DOMAIN_COST: f64 = 0.004;
-/// What a target in another region costs, in seconds: the round trip of 24 to 40 ms and the bytes between regions.
-const OTHER_REGION_COST: f64 = 0.070;
-/// Round trip to another region, in seconds, as part of the time until the answer.
-const OTHER_REGION_TRIP: f64 = 0.035;
 /// Hosts that may send to a cold target.
 const COLD_SENDERS: usize = 2;
 /// Part of a cold target's rate that the senders use together. Two that disagree with two others on who sends stay within
 /// what the platform tolerates (half as much again and 5): each sends its part and one request beyond it.
 const COLD_RATE_PART: f64 = 0.75;
-/// What a certain failure costs, in latency objectives: the time lost and the attempt.
-const FAULT_COST: f64 = 2.0;
 /// Sets the places of objects apart from their ranks on targets.
 const PLACE_SALT: u64 = 0x5a17;
 
@@ -74,21 +60,21 @@
 /// One target with what is known of it.
 #[derive(Clone, Debug)]
 pub(super) struct TargetRecord {
-    entry: TargetEntry,
-    salt: u64,
-    track: TargetTrack,
+    pub(super) entry: TargetEntry,
+    pub(super) salt: u64,
+    pub(super) track: TargetTrack,
 }
 
 /// The targets known to a host, and the choice among them.
 #[derive(Clone, Debug)]
 pub struct TargetBoard {
-    own: BoardHost,
-    own_region: RegionId,
-    targets: IndexMap<TargetId, TargetRecord>,
-    services: IndexMap<ServiceId, ServiceRecord>,
-    times: IndexMap<RouteId, ServiceTimes>,
-    closed: IndexSet<DomainId>,
-    hosts: Vec<(BoardHost, u64)>,
+    pub(super) own: BoardHost,
+    pub(super) own_region: RegionId,
+    pub(super) targets: IndexMap<TargetId, TargetRecord>,
+    pub(super) services: IndexMap<ServiceId, ServiceRecord>,
+    pub(super) times: IndexMap<RouteId, ServiceTimes>,
+    pub(super) closed: IndexSet<DomainId>,
+    pub(super) hosts: Vec<(BoardHost, u64)>,
 }
 
 impl TargetBoard {
@@ -311,129 +297,11 @@
         }
     }
 
-    fn takes_requests(&self, record: &TargetRecord) -> bool {
+    pub(super) fn takes_requests(&self, record: &TargetRecord) -> bool {
         record.entry.state == TargetState::Ready
             && !self.closed.contains(&record.entry.failure_domain)
     }
 
-    /// Targets that may run a request, with what they cost it. In a busy service the work itself costs the more, as each
-    /// slot that runs a cold object is lost to several warm ones.
-    fn candidates<'a>(
-        &'a self,
-        ask: &PlacementAsk<'_>,
-        now: Instant,
-    ) -> (Vec<Candidate<'a>>, RegionPressure) {
-        let Some(service) = self.services.get(ask.service) else {
-            return (Vec::new(), RegionPressure::default());
-        };
-        let records: Vec<&TargetRecord> = service
-            .targets
-            .iter()
-            .filter_map(|name| self.targets.get(name))
-            .filter(|record| self.takes_requests(record) && is_allowed(record, ask))
-            .collect();
-        let ranks = ask.key.map(|key| self.rank(&records, key)).unwrap_or_default();
-        let pressure = self.pressure(service, &records, now);
-        let spilled = service.band.as_ref().map_or(0.0, SpillBand::share);
-        let mut candidates = Vec::with_capacity(records.len());
-        for (index, record) in records.iter().enumerate() {
-            if ask.excluded.contains(&record.entry.target) || !self.may_send(record, now) {
-                continue;
-            }
-            let is_warm = ask.key.is_some_and(|key| record.track.warm_keys.contains(key, now));
-            let warmth = if is_warm { KNOWN_WARMTH } else { ranks.warmth(index, spilled) };
-            let mut candidate = self.candidate(service, record, ask, warmth, now);
-            candidate.is_warm = is_warm;
-            candidate.cost += pressure.all.min(1.0) * candidate.work;
-            candidates.push(candidate);
-        }
-        (candidates, pressure)
-    }
-
-    /// Requests for each slot of a service.
-    fn pressure(
-        &self,
-        service: &ServiceRecord,
-        records: &[&TargetRecord],
-        now: Instant,
-    ) -> RegionPressure {
-        let mut sums = [(0.0, 0.0); 2];
-        for record in records {
-            let sum = &mut sums[usize::from(record.entry.region != self.own_region)];
-            sum.0 += self.load_of(service, record, now);
-            sum.1 += f64::from(record.entry.slots);
-        }
-        let per_slot = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 0.0 };
-        let all = (sums[0].0 + sums[1].0, sums[0].1 + sums[1].1);
-        RegionPressure { inside: per_slot(sums[0]), outside: per_slot(sums[1]), all: per_slot(all) }
-    }
-
-    fn band_of(&self, service: &ServiceId, now: Instant) -> SpillBand {
-        let known = self.services.get(service).and_then(|service| service.band.clone());
-        known.unwrap_or_else(|| SpillBand::new(now))
-    }
-
-    fn set_band(&mut self, service: &ServiceId, band: SpillBand) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.band = Some(band);
-        }
-    }
-
-    /// Requests of all hosts on a target, as far as known.
-    fn load_of(&self, service: &ServiceRecord, record: &TargetRecord, now: Instant) -> f64 {
-        let usual = &service.others[usize::from(record.entry.region != self.own_region)];
-        let slots = record.entry.slots;
-        record.track.load(slots, usual.per_slot(now) * f64::from(slots), now)
-    }
-
-    /// Ranks targets for an object by scores that are the same on all hosts.
-    fn rank(&self, records: &[&TargetRecord], key: u64) -> KeyRanks {
-        let mut ranks = KeyRanks::default();
-        for (index, record) in records.iter().enumerate() {
-            let score = mix(record.salt, key);
-            match record.entry.region == self.own_region {
-                true => insert_rank(&mut ranks.near, (score, index)),
-                false => insert_rank(&mut ranks.far, (score, index)),
-            }
-        }
-        ranks
-    }
-
-    fn candidate<'a>(
-        &self,
-        service: &ServiceRecord,
-        record: &'a TargetRecord,
-        ask: &PlacementAsk<'_>,
-        warmth: f64,
-        now: Instant,
-    ) -> Candidate<'a> {
-        let track = &record.track;
-        let times = self.times.get(ask.route).copied().unwrap_or_default();
-        let work = times.expected(warmth, ask.objective) * track.speed;
-        let slots = record.entry.slots.max(1);
-        let load = self.load_of(service, record, now);
-        let excess = (load + 1.0 - f64::from(slots)).max(0.0);
-        let busy = service.busy_seconds.unwrap_or(work) * track.speed;
-        let wait = excess / f64::from(slots) * busy;
-        let is_outside = record.entry.region != self.own_region;
-        let (trip, distance) = match is_outside {
-            true => (OTHER_REGION_TRIP, OTHER_REGION_COST),
-            false if record.entry.failure_domain == self.own.failure_domain => (0.0, 0.0),
-            false => (0.0, OTHER_DOMAIN_COST),
-        };
-        let faults = track.faults.share(now) * ask.objective.as_secs_f64() * FAULT_COST;
-        Candidate {
-            record,
-            load,
-            wait,
-            work,
-            expected: work + wait + trip,
-            cost: work + wait + distance + faults,
-            is_warm: false,
-            is_outside,
-        }
-    }
-
     /// Whether this host is one of those that may send to a target while it is cold: the nearest ones, the same for all
     /// hosts that see the same hosts.
     fn is_cold_sender(&self, record: &TargetRecord) -> bool {
@@ -447,7 +315,7 @@
     }
 
     /// Whether a target is warm, or this host may send it one more request while it is cold.
-    fn may_send(&self, record: &TargetRecord, now: Instant) -> bool {
+    pub(super) fn may_send(&self, record: &TargetRecord, now: Instant) -> bool {
         if !record.track.is_cold(now) {
             return true;
         }
@@ -469,7 +337,7 @@
     }
 }
 
-fn is_allowed(record: &TargetRecord, ask: &PlacementAsk<'_>) -> bool {
+pub(super) fn is_allowed(record: &TargetRecord, ask: &PlacementAsk<'_>) -> bool {
     ask.regions.is_empty() || ask.regions.contains(&record.entry.region)
 }
 
@@ -480,7 +348,7 @@
 }
 
 /// Mixes two hashes into one (the finalizer of SplitMix64).
-fn mix(a: u64, b: u64) -> u64 {
+pub(super) fn mix(a: u64, b: u64) -> u64 {
     let mut mixed = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
