--- a/crates/buckthornturn/src/entry/request_facts.rs
+++ b/crates/buckthornturn/src/entry/request_facts.rs
@@ -97,11 +97,6 @@
     pub fn time_left(&self) -> Duration {
         self.deadline().saturating_duration_since(Instant::now())
     }
-
-    /// Whether the regions of the route and of the customer exclude each other.
-    pub fn is_homeless(&self) -> bool {
-        self.regions.iter().any(|region| region.is_empty())
-    }
 }
 
 /// Regions that both lists allow; an empty list allows all. Lists that exclude each other leave a region without a name,
--- a/crates/buckthornturn/src/interface/caller_dialect.rs
+++ b/crates/buckthornturn/src/interface/caller_dialect.rs
@@ -48,8 +48,6 @@
     pub is_other_target: bool,
     /// The target's load.
     pub load: Option<TargetLoad>,
-    /// Time for which the target stays cold.
-    pub cold_for: Option<Duration>,
     /// Time for which the target keeps an idle connection.
     pub keeps_idle: Option<Duration>,
 }
--- a/crates/buckthornturn/src/platform/wire_dialect.rs
+++ b/crates/buckthornturn/src/platform/wire_dialect.rs
@@ -38,8 +38,6 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 /// Requests that a target runs and has waiting, and its slots.
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
-/// Milliseconds for which a target stays cold.
-const COLD_FOR: HeaderName = HeaderName::from_static("x-cold-remaining-ms");
 /// How long a target keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const LOOK_UP_PATH: &str = "/resolve";
@@ -79,7 +77,6 @@
             is_not_run: headers.contains_key(&NOT_RUN),
             is_other_target: answer.status == StatusCode::MISDIRECTED_REQUEST,
             load: text(headers, &LOAD).and_then(|load| load_of(&load)),
-            cold_for: millis(headers, &COLD_FOR),
             keeps_idle: text(headers, &KEEP_ALIVE).and_then(|value| idle_of(&value)),
         }
     }
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -278,13 +278,6 @@
         }
     }
 
-    /// A target said how long it stays cold.
-    pub fn reported_cold(&mut self, target: &str, cold_for: Duration, now: Instant) {
-        if let Some(record) = self.targets.get_mut(target) {
-            record.track.cold_until = Some(now + cold_for);
-        }
-    }
-
     fn start(&mut self, target: &str, key: Option<u64>, now: Instant) {
         let Some(record) = self.targets.get_mut(target) else { return };
         record.track.in_flight += 1;
