Contract tests read the log from standard output

Change: both streams of a host go into its log file, the address line is looked for there, the refusal's line is waited for. Nothing is checked less: the same lines must be there.

--- a/crates/buckthornturn/tests/contract/deployment.rs
+++ b/crates/buckthornturn/tests/contract/deployment.rs
@@ -1,7 +1,5 @@
 //! Real host processes beside a store and a target that run in the test.
 
-use std::io::BufRead;
-use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -11,7 +9,6 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Output;
-use std::process::Stdio;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -90,15 +87,19 @@
         }
         let path = self.folder.join(format!("{host}.jsonc"));
         std::fs::write(&path, format!("// Settings.\n{settings}")).unwrap();
-        let log = std::fs::File::create(self.folder.join(format!("{host}.log"))).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_buckthornturn"))
+        let log_path = self.folder.join(format!("{host}.log"));
+        let log = std::fs::File::create(&log_path).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_buckthornturn"))
             .args(["host", "--settings", path.to_str().unwrap()])
-            .stdout(Stdio::piped())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let line = self.wait_for("the addresses of a host", || {
+            let text = std::fs::read_to_string(&log_path).unwrap();
+            let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+            whole.lines().find(|line| line.starts_with("callers ")).map(str::to_owned)
+        });
         let words: Vec<_> = line.split_whitespace().collect();
         let address = |index: usize| words[index].parse::<SocketAddr>().unwrap();
         let mesh = address(5);
--- a/crates/buckthornturn/tests/contract/operators.rs
+++ b/crates/buckthornturn/tests/contract/operators.rs
@@ -178,8 +178,9 @@
         assert_eq!(output.status.code(), Some(1));
         assert!(text(&output).contains(reason), "{}", text(&output));
     }
-    let log = std::fs::read_to_string(deployment.folder.join("h1.log")).unwrap();
-    assert!(log.contains("operator refused reason=role operator=reader path=/v1/keys"), "{log}");
+    let read_log = || std::fs::read_to_string(deployment.folder.join("h1.log")).unwrap();
+    let line = "operator refused reason=role operator=reader path=/v1/keys";
+    deployment.wait_for("the refusal in the log", || read_log().contains(line).then_some(()));
 }
 
 #[test]
