Heartbeats tell which floors a host has given up

Cause: HostStatus kept its own counter for plan_shrunk, which nothing set since plans moved into PlanCell; every heartbeat said 0. So no plan after the first of a domain ever settled: a later host of a domain never got its floors, and a replaced host left its floors unused for good. A leaving host also said nothing in time: what it had handed over was waited for through a lease term after its end. Ruled out: the 2 s lease term alone (a draft without awaited hosts changed nothing while the counter stayed 0); slots or tokens still lent (the leaving host had given all up within 0.2 to 1.6 s in a trace). Change: the heartbeat reads the plan cell; the planner writes the plan without an awaited host while that host still says that it gave all up. Tests that failed first: a_heartbeat_tells_up_to_which_plan_floors_were_given_up, a_leaving_host_that_gave_all_up_is_no_longer_awaited.

--- a/crates/buckthornturn/src/admission/plan_draft.rs
+++ b/crates/buckthornturn/src/admission/plan_draft.rs
@@ -34,14 +34,16 @@
         .awaited
         .iter()
         .any(|(host, start)| is_dead(host, *start) && !known.gone.contains_key(host));
-    if holders == known.holders && !has_dead_awaited {
-        return None;
-    }
     let has_shrunk = |host: &str, start| {
         members
             .member(host)
             .is_some_and(|member| member.incarnation == start && member.plan_shrunk >= known.epoch)
     };
+    // Written while a leaving host can still say that it gave everything up: after its end only a lease term tells.
+    let has_handed_over = known.awaited.iter().any(|(host, start)| has_shrunk(host, *start));
+    if holders == known.holders && !has_dead_awaited && !has_handed_over {
+        return None;
+    }
     Some(known.following(holders, is_dead, has_shrunk, is_settled))
 }
 
--- a/crates/buckthornturn/src/admission/tests.rs
+++ b/crates/buckthornturn/src/admission/tests.rs
@@ -62,3 +62,30 @@
     a_dead_holder_goes: 5, Gone => Some(vec![("ben", 7)]);
     a_later_start_takes_the_place: 6, Live => Some(vec![("ana", 6), ("ben", 7)]);
 }
+
+/// `ana` left and is awaited; `ben` drafts when `ana` has given up floors up to the epoch given.
+fn draft_beside_leaving(shrunk: u64) -> Option<FloorPlan> {
+    let own = OwnHost {
+        host: "ben".into(),
+        incarnation: 7,
+        failure_domain: "a".into(),
+        region: "north".into(),
+    };
+    let first = FloorPlan::first("a".into(), [("ana".into(), 5), ("ben".into(), 7)].into());
+    let plan = first.following([("ben".into(), 7)].into(), |_, _| false, |_, _| false, false);
+    let mut ana = member("ana", 5, MemberHealth::Leaving);
+    ana.plan_shrunk = shrunk;
+    let members = vec![ana, member("ben", 7, MemberHealth::Live)];
+    draft_plan(Some(&plan), &own, &MemberView { members }, false)
+}
+
+#[test]
+fn a_leaving_host_that_gave_all_up_is_no_longer_awaited() {
+    let plan = draft_beside_leaving(2).unwrap();
+    assert!(plan.awaited.is_empty() && plan.gone.is_empty());
+}
+
+#[test]
+fn a_leaving_host_that_holds_on_is_awaited() {
+    assert_eq!(draft_beside_leaving(1), None);
+}
--- a/crates/buckthornturn/src/membership/host_status.rs
+++ b/crates/buckthornturn/src/membership/host_status.rs
@@ -3,13 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use coordination::ids::DomainId;
-use coordination::ids::Epoch;
 use coordination::ids::HostId;
 use coordination::ids::Incarnation;
 use coordination::ids::RegionId;
@@ -48,7 +46,6 @@
     plans: PlanCell,
     store: Arc<StoreGuard>,
     leaving: AtomicBool,
-    plan_shrunk: AtomicU64,
 }
 
 impl HostStatus {
@@ -67,7 +64,6 @@
             plans,
             store,
             leaving: AtomicBool::new(false),
-            plan_shrunk: AtomicU64::new(0),
         }
     }
 
@@ -81,11 +77,6 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Says that this host has given up what it lost up to an epoch of its domain's floor plan.
-    pub fn set_plan_shrunk(&self, epoch: Epoch) {
-        self.plan_shrunk.fetch_max(epoch, Ordering::Relaxed);
-    }
-
     /// Whether the store may take a change of this host.
     pub fn reaches_store(&self, now: Instant) -> bool {
         self.store.is_reached(now)
@@ -105,7 +96,7 @@
             leaving: self.leaving.load(Ordering::Relaxed),
             confirmation_age: self.freshness.age(now),
             store_reached: self.reaches_store(now),
-            plan_shrunk: self.plan_shrunk.load(Ordering::Relaxed),
+            plan_shrunk: self.plans.shrunk(),
             plan_digest: self.plan_digest(),
         }
     }
--- a/crates/buckthornturn/src/membership/mod.rs
+++ b/crates/buckthornturn/src/membership/mod.rs
@@ -5,6 +5,8 @@
 mod list_reader;
 mod member_actor;
 mod member_handler;
+#[cfg(test)]
+mod tests;
 
 pub use heartbeat_loop::HeartbeatLoop;
 pub use heartbeat_loop::PeerHint;
