Refused requests give their token back; dispatches are counted when they leave

Cause: QuotaLedger::refund was called by nobody, so a request refused for want of a target cost its customer a token, and callers that came back as told met 429. `sent` was counted at the end of an attempt, so a dispatch that the timeout ended was not counted, and such an attempt told nothing of its target's speed. Change: a refusal that says "not run" refunds; dispatches are counted as they leave; an abandoned attempt that took longer than expected counts as a measurement of at least that time; a request's line says the pressure, the wait and the age of the state. Tests that failed first: a_refusal_for_want_of_a_target_does_not_use_up_the_limit (429 for 503), a_dispatch_that_ends_with_the_timeout_is_counted.

--- a/crates/buckthornturn/src/entry/attempt_guard.rs
+++ b/crates/buckthornturn/src/entry/attempt_guard.rs
@@ -48,6 +48,6 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.finish(AttemptEnd::Abandoned, None);
+        self.finish(AttemptEnd::Abandoned { time: self.elapsed() }, None);
     }
 }
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -1,6 +1,8 @@
 //! Sends a request to one target and judges the answer.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use coordination::fleet::AttemptEnd;
@@ -54,6 +56,19 @@
     pub head: request::Parts,
     /// Body.
     pub upload: Arc<UploadSlot>,
+    dispatches: AtomicU64,
+}
+
+impl EntryJob {
+    /// A request of which nothing was sent.
+    pub fn new(facts: RequestFacts, head: request::Parts, upload: Arc<UploadSlot>) -> Self {
+        Self { facts, head, upload, dispatches: AtomicU64::new(0) }
+    }
+
+    /// Times that it was sent to a target, one that still runs included.
+    pub fn dispatches(&self) -> u64 {
+        self.dispatches.load(Ordering::Relaxed)
+    }
 }
 
 /// Sends requests to targets.
@@ -114,9 +129,13 @@
         };
         self.dialect.notify_target(&mut head.headers, &notice);
         let request = Request::from_parts(head, job.upload.next_body());
+        job.dispatches.fetch_add(1, Ordering::Relaxed);
         match connection.send(request).await {
             Ok(response) => SendResult::Answered(response, connection),
-            Err(error) if error.message().is_some() => SendResult::Unsent,
+            Err(error) if error.message().is_some() => {
+                job.dispatches.fetch_sub(1, Ordering::Relaxed);
+                SendResult::Unsent
+            }
             Err(_) => SendResult::Lost(lost_reason(&job.upload)),
         }
     }
--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -46,6 +46,7 @@
     pub(super) histories: [ChangeHistory; StatePart::ALL.len()],
     pub(super) has_targets: bool,
     pub(super) unreached: [bool; StatePart::ALL.len()],
+    pub(super) heard_at: [Instant; StatePart::ALL.len()],
     pub(super) beat: u64,
     pub(super) phase: HostPhase,
 }
@@ -67,6 +68,7 @@
             histories: Default::default(),
             has_targets: false,
             unreached: [false; StatePart::ALL.len()],
+            heard_at: [Instant::now(); StatePart::ALL.len()],
             beat: 0,
             phase: HostPhase::Starting,
         }
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -258,7 +258,18 @@
 
     /// Takes note of whether the latest call for a part was answered.
     pub fn set_reached(&self, part: StatePart, is_reached: bool) {
-        self.lock().unreached[part as usize] = !is_reached;
+        let mut core = self.lock();
+        core.unreached[part as usize] = !is_reached;
+        if is_reached {
+            core.heard_at[part as usize] = Instant::now();
+        }
+    }
+
+    /// Time since the part of the state that was heard of least lately was heard of. A quiet store answers a watch only
+    /// when it ends, so some seconds are usual.
+    pub fn state_age(&self) -> Duration {
+        let oldest = self.lock().heard_at.into_iter().min();
+        oldest.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Whether another host that was heard lately reaches the store.
--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -63,9 +63,9 @@
     service: Option<ServiceId>,
     target: Option<TargetId>,
     tries: u64,
-    sent: u64,
     wait: Duration,
     load: f64,
+    pressure: f64,
     is_warm: bool,
     expected_ms: u64,
 }
@@ -107,7 +107,7 @@
         };
         remove_hop_by_hop(&mut head.headers);
         head.extensions.clear();
-        let job = EntryJob { facts, head, upload };
+        let job = EntryJob::new(facts, head, upload);
         let mut trail = RequestTrail::default();
         let result = self.run(&job, &mut trail).await;
         self.log(&job, &trail, &result);
@@ -124,13 +124,29 @@
         trail: &mut RequestTrail,
     ) -> Result<Response<AnswerBody>, Refusal> {
         self.spend(job)?;
+        let result = self.run_within_limit(job, trail).await;
+        match (&result, &job.facts.customer) {
+            (Err(refusal), Some(customer)) if refusal.not_run => {
+                self.state.lock().quotas.refund(customer);
+            }
+            _ => {}
+        }
+        result
+    }
+
+    /// Runs a request that its customer's limit allows.
+    async fn run_within_limit(
+        &self,
+        job: &EntryJob,
+        trail: &mut RequestTrail,
+    ) -> Result<Response<AnswerBody>, Refusal> {
         let service = self.draw_service(job)?;
         trail.service = Some(service.clone());
         let deadline = job.facts.deadline();
         let work = self.try_targets(job, &service, trail);
         match tokio::time::timeout_at(deadline.into(), work).await {
             Ok(result) => result,
-            Err(_) => Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout")),
+            Err(_) => Err(timeout(job.dispatches())),
         }
     }
 
@@ -171,30 +187,24 @@
         loop {
             let choice = match self.place(job, service, &tried) {
                 Ok(choice) => choice,
-                Err(refusal) => return Err(lost.unwrap_or(refusal)),
+                Err(refusal) => {
+                    trail.note_refusal(refusal);
+                    return Err(lost.unwrap_or_else(|| self.refusal_of(refusal)));
+                }
             };
             trail.note(&choice);
             tried.push(choice.target.clone());
             let guard =
                 AttemptGuard::new(Arc::clone(&self.state), choice, job.facts.route.name.clone());
             let reason = match self.runner.run(job, guard).await {
-                AttemptResult::Answered(response) => {
-                    trail.sent += 1;
-                    return Ok(response);
-                }
-                AttemptResult::NotSent(reason) => reason,
-                AttemptResult::NotRun(reason) => {
-                    trail.sent += 1;
-                    reason
-                }
+                AttemptResult::Answered(response) => return Ok(response),
+                AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason) => reason,
                 AttemptResult::Lost(status, reason) => {
-                    trail.sent += 1;
                     lost = Some(Refusal::unknown(status, reason));
                     reason
                 }
             };
-            if let Some(end) = self.end_of_tries(job, service, trail, &tried, lost.as_ref(), reason)
-            {
+            if let Some(end) = self.end_of_tries(job, service, &tried, lost.as_ref(), reason) {
                 return Err(end);
             }
         }
@@ -205,7 +215,6 @@
         &self,
         job: &EntryJob,
         service: &ServiceId,
-        trail: &RequestTrail,
         tried: &[TargetId],
         lost: Option<&Refusal>,
         reason: &'static str,
@@ -217,11 +226,12 @@
         if lost.is_some() && !job.facts.route.is_repeatable {
             return Some(refusal());
         }
-        let is_used_up = trail.sent >= u64::from(job.facts.route.max_attempts.max(1))
+        let dispatches = job.dispatches();
+        let is_used_up = dispatches >= u64::from(job.facts.route.max_attempts.max(1))
             || tried.len() >= MAX_TRIES
             || !job.upload.is_whole();
         let may_go_on =
-            !is_used_up && (trail.sent == 0 || self.state.lock().retries(service).retry());
+            !is_used_up && (dispatches == 0 || self.state.lock().retries(service).retry());
         (!may_go_on).then(refusal)
     }
 
@@ -230,7 +240,7 @@
         job: &EntryJob,
         service: &ServiceId,
         tried: &[TargetId],
-    ) -> Result<PlacementChoice, Refusal> {
+    ) -> Result<PlacementChoice, PlacementRefusal> {
         let facts = &job.facts;
         let elapsed = facts.arrived.elapsed();
         let ask = PlacementAsk {
@@ -243,14 +253,17 @@
             objective: facts.route.objective.saturating_sub(elapsed),
             priority: facts.priority,
         };
-        let placed = self.state.lock().board.choose(&ask, Instant::now());
-        placed.map_err(|refusal| match refusal {
+        self.state.lock().board.choose(&ask, Instant::now())
+    }
+
+    fn refusal_of(&self, refusal: PlacementRefusal) -> Refusal {
+        match refusal {
             PlacementRefusal::NoTarget => nothing("no-target"),
-            PlacementRefusal::Busy { wait } => {
+            PlacementRefusal::Busy { wait, .. } => {
                 Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy")
                     .retry_after(self.pause(wait))
             }
-        })
+        }
     }
 
     /// A pause near the wait given, spread so that callers do not return as a wave.
@@ -283,7 +296,7 @@
             outcome: reason,
             took: facts.arrived.elapsed(),
             wait: trail.wait,
-            sent: trail.sent,
+            sent: job.dispatches(),
         });
         let pause = result.as_ref().err().and_then(|refusal| refusal.retry_after);
         let message = match result {
@@ -297,15 +310,17 @@
             service: = trail.service.as_deref().unwrap_or("-"),
             target: = trail.target.as_deref().unwrap_or("-"),
             tries = trail.tries,
-            sent = trail.sent,
+            sent = job.dispatches(),
             wait_ms = trail.wait.as_millis() as u64,
             pause_ms = pause.unwrap_or_default().as_millis() as u64,
             load = trail.load,
+            pressure = trail.pressure,
             object = facts.object.unwrap_or_default(),
             is_warm = trail.is_warm,
             expected_ms = trail.expected_ms,
             took_ms = facts.arrived.elapsed().as_millis() as u64,
             version: = facts.configuration.version,
+            state_age_ms = self.state.state_age().as_millis() as u64,
             status:,
             reason:
         });
@@ -318,9 +333,24 @@
         self.tries += 1;
         self.wait = choice.wait;
         self.load = choice.load;
+        self.pressure = choice.pressure;
         self.is_warm = choice.is_warm;
         self.expected_ms = choice.expected.as_millis() as u64;
     }
+
+    fn note_refusal(&mut self, refusal: PlacementRefusal) {
+        if let PlacementRefusal::Busy { wait, pressure } = refusal {
+            (self.wait, self.pressure) = (wait, pressure);
+        }
+    }
+}
+
+/// The end of a request whose time is over. It has not run if nothing of it left this host.
+fn timeout(dispatches: u64) -> Refusal {
+    match dispatches {
+        0 => nothing("timeout"),
+        _ => Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout"),
+    }
 }
 
 fn nothing(reason: &'static str) -> Refusal {
--- a/crates/buckthornturn/tests/platform/requests.rs
+++ b/crates/buckthornturn/tests/platform/requests.rs
@@ -8,6 +8,9 @@
 use crate::entry_fleet::CallerCall;
 use crate::entry_fleet::EntryFleet;
 
+/// Time after which a lower limit is shared out anew: several checks of what time brings.
+const SHARES_SETTLED: Duration = Duration::from_secs(1);
+
 macro_rules! statuses {
     ($($name:ident: $call:expr, $mode:ident on $faulty:literal of $targets:literal => $status:literal, ran $runs:literal;)*) => {
         $(
@@ -69,6 +72,29 @@
         .await;
 }
 
+#[tokio::test]
+async fn a_refusal_for_want_of_a_target_does_not_use_up_the_limit() {
+    let fleet = EntryFleet::start(1, 0).await;
+    let limited = crate::entry_fleet::configuration("2", &["key-2"], 1.0);
+    fleet.store.put("config", "main", limited);
+    let call = || CallerCall::page().with("x-credential", "key-2");
+    fleet.until("the new key", async || fleet.ask(0, call()).await.status() != 401).await;
+    tokio::time::sleep(SHARES_SETTLED).await;
+    for _ in 0..20 {
+        assert_eq!(fleet.ask(0, call()).await.status(), 503);
+    }
+}
+
+#[tokio::test]
+async fn a_dispatch_that_ends_with_the_timeout_is_counted() {
+    let fleet = EntryFleet::start(1, 1).await;
+    fleet.targets[0].set_mode(TargetMode::Silent);
+    assert_eq!(fleet.ask(0, CallerCall::payment()).await.status(), 504);
+    let metrics = fleet.hosts[0].state().metrics().text(fleet.hosts[0].state()).unwrap();
+    let sent = metrics.lines().find(|line| line.starts_with("buckthornturn_sent_total"));
+    assert_eq!(sent.and_then(|line| line.split(' ').next_back()), Some("1"), "{metrics}");
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work() {
     let fleet = EntryFleet::start(1, 1).await;
--- a/crates/coordination/src/fleet/placement_ask.rs
+++ b/crates/coordination/src/fleet/placement_ask.rs
@@ -47,6 +47,8 @@
     pub wait: Duration,
     /// Time expected until the answer.
     pub expected: Duration,
+    /// Requests for each slot of the service in this host's region, as far as known.
+    pub pressure: f64,
 }
 
 /// Why a request is not placed.
@@ -58,5 +60,7 @@
     Busy {
         /// Shortest wait expected at any target.
         wait: Duration,
+        /// Requests for each slot of the service in this host's region, as far as known.
+        pressure: f64,
     },
 }
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -222,7 +222,7 @@
         let Some(best) = chosen else {
             let wait = Duration::from_secs_f64(best.wait);
             self.set_band(ask.service, band);
-            return Err(PlacementRefusal::Busy { wait });
+            return Err(PlacementRefusal::Busy { wait, pressure: pressure.inside });
         };
         let choice = PlacementChoice {
             target: best.record.entry.target.clone(),
@@ -232,6 +232,7 @@
             load: best.load,
             wait: Duration::from_secs_f64(best.wait),
             expected: Duration::from_secs_f64(best.expected),
+            pressure: pressure.inside,
         };
         self.set_band(ask.service, band);
         self.start(&choice.target, ask.key, now);
@@ -274,7 +275,11 @@
             }
             AttemptEnd::Unreachable => record.track.faults.unreachable(now),
             AttemptEnd::Replaced => record.track.faults.unreachable(now),
-            AttemptEnd::Abandoned => {}
+            // The work would have taken longer still: it tells of a slow target, never of a fast one.
+            AttemptEnd::Abandoned { time } if time > choice.expected => {
+                record.track.measured(time, choice.expected.as_secs_f64());
+            }
+            AttemptEnd::Abandoned { .. } => {}
         }
     }
 
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -55,7 +55,10 @@
     /// Another target has the address now.
     Replaced,
     /// The caller left, or the deadline passed.
-    Abandoned,
+    Abandoned {
+        /// Time from the dispatch until then.
+        time: Duration,
+    },
 }
 
 /// What a host knows of one target's load.
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -314,7 +314,7 @@
                     board.finished(&choice, &"route".into(), end, Some(full), now);
                 }
                 Err(refusal) => {
-                    assert!(matches!(refusal, PlacementRefusal::Busy { wait } if !wait.is_zero()));
+                    assert!(matches!(refusal, PlacementRefusal::Busy { wait, .. } if !wait.is_zero()));
                     return;
                 }
             }
