A region with few targets sends its surplus outside from the first request on

Cause: every host began with all requests inside its region and moved 0.05 a second. Change: before it has seen a request, a host sends outside what its neighbours do, as heartbeats tell, or else what the region's slots are short of its part of the failure domains. The bound on the change of the share stays. Ruled out: a faster change, which the bound between regions forbids.

--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -53,11 +53,11 @@
 
 impl EntryCore {
     /// The core of a host that knows nothing yet.
-    pub(super) fn new(own: &EntryIdentity) -> Self {
+    pub(super) fn new(own: &EntryIdentity, callers_part: f64) -> Self {
         let board_host =
             BoardHost { host: own.host.clone(), failure_domain: own.failure_domain.clone() };
         Self {
-            board: TargetBoard::new(board_host, own.region.clone()),
+            board: TargetBoard::new(board_host, own.region.clone(), callers_part),
             quotas: QuotaLedger::default(),
             roster: HostRoster::default(),
             retries: IndexMap::new(),
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -19,6 +19,8 @@
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use coordination::ids::RouteId;
+use coordination::ids::ServiceId;
+use indexmap::IndexMap;
 use spdlog::info;
 use tokio::sync::watch;
 
@@ -92,7 +94,7 @@
 impl EntryState {
     /// The state of a host that knows nothing yet.
     pub fn new(own: EntryIdentity, settings: EntrySettings) -> Arc<Self> {
-        let core = Mutex::new(EntryCore::new(&own));
+        let core = Mutex::new(EntryCore::new(&own, settings.callers_part()));
         Arc::new(Self {
             own,
             metrics: EntryMetrics::default(),
@@ -316,6 +318,7 @@
             applied: core.applied,
             reaches_store: !core.unreached.contains(&true),
             demand: core.quotas.demand(now),
+            spill: core.board.spill_shares(),
         }
     }
 
@@ -342,6 +345,8 @@
         let own_host =
             BoardHost { host: own.clone(), failure_domain: self.own.failure_domain.clone() };
         board.set_hosts(std::iter::once(own_host).chain(hosts).collect());
+        let near = |news: &&HostNews| news.region == self.own.region && news.host != *own;
+        board.set_neighbour_shares(mean_shares(roster.live(now).filter(near)));
     }
 
     fn put_configuration(
@@ -375,6 +380,16 @@
     }
 }
 
+/// Mean of the shares that hosts send outside their region, by service, over those that have any requests.
+fn mean_shares<'a>(hosts: impl Iterator<Item = &'a HostNews>) -> IndexMap<ServiceId, f64> {
+    let mut sums: IndexMap<ServiceId, (f64, f64)> = IndexMap::new();
+    for (service, share) in hosts.flat_map(|news| &news.spill) {
+        let sum = sums.entry(service.clone()).or_default();
+        *sum = (sum.0 + share.clamp(0.0, 1.0), sum.1 + 1.0);
+    }
+    sums.into_iter().map(|(service, (sum, count))| (service, sum / count)).collect()
+}
+
 fn board_host(news: &HostNews) -> BoardHost {
     BoardHost { host: news.host.clone(), failure_domain: news.failure_domain.clone() }
 }
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -39,6 +39,14 @@
     pub log: LogSettings,
 }
 
+impl EntrySettings {
+    /// Part of all callers, 0 to 1, that this host's region is expected to have: its part of the failure domains.
+    pub fn callers_part(&self) -> f64 {
+        let near = self.domains.values().filter(|region| **region == self.region).count();
+        near as f64 / self.domains.len().max(1) as f64
+    }
+}
+
 /// One core, for hosts that do not say.
 fn default_capacity() -> f64 {
     1.0
--- a/crates/coordination/src/fleet/board_view.rs
+++ b/crates/coordination/src/fleet/board_view.rs
@@ -10,6 +10,7 @@
 use crate::fleet::placement_candidate::RegionPressure;
 use crate::fleet::placement_candidate::insert_rank;
 use crate::fleet::service_record::ServiceRecord;
+use crate::fleet::spill_band::surplus_share;
 use crate::fleet::target_board::TargetRecord;
 use crate::fleet::target_board::is_allowed;
 use crate::fleet::target_board::mix;
@@ -81,7 +82,25 @@
 
     pub(super) fn band_of(&self, service: &ServiceId, now: Instant) -> SpillBand {
         let known = self.services.get(service).and_then(|service| service.band.clone());
-        known.unwrap_or_else(|| SpillBand::new(now))
+        known.unwrap_or_else(|| SpillBand::new(self.first_share(service), now))
+    }
+
+    /// Share of a service's requests that runs outside before this host has seen any: what other hosts of the region send
+    /// there, or else what the region's slots are short of. Answers starts, where a region with few targets would be
+    /// overrun for as long as the share takes to grow.
+    pub(super) fn first_share(&self, service: &ServiceId) -> f64 {
+        if let Some(share) = self.neighbour_shares.get(service) {
+            return *share;
+        }
+        let Some(known) = self.services.get(service) else { return 0.0 };
+        let records = known.targets.iter().filter_map(|name| self.targets.get(name));
+        let (mut inside, mut all) = (0.0, 0.0);
+        for record in records.filter(|record| self.takes_requests(record)) {
+            let slots = f64::from(record.entry.slots);
+            all += slots;
+            inside += if record.entry.region == self.own_region { slots } else { 0.0 };
+        }
+        if all > 0.0 { surplus_share(self.callers_part, inside / all) } else { 0.0 }
     }
 
     pub(super) fn set_band(&mut self, service: &ServiceId, band: SpillBand) {
--- a/crates/coordination/src/fleet/host_news.rs
+++ b/crates/coordination/src/fleet/host_news.rs
@@ -12,6 +12,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RegionId;
 use crate::ids::Revision;
+use crate::ids::ServiceId;
 
 /// Whether a host takes new callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -50,6 +51,8 @@
     pub applied: [Revision; 3],
     /// Whether its latest calls to the store were answered.
     pub reaches_store: bool,
-    /// Requests a second that it sees of each customer with a limit.
+    /// Requests a second of each customer whose tokens it keeps, over all hosts of its region.
     pub demand: IndexMap<CustomerId, f32>,
+    /// Shares of requests, by service, that it sends outside its region.
+    pub spill: IndexMap<ServiceId, f64>,
 }
--- a/crates/coordination/src/fleet/spill_band.rs
+++ b/crates/coordination/src/fleet/spill_band.rs
@@ -24,6 +24,17 @@
 /// Least share of requests that counts as served, so that pressure stays bounded.
 const MIN_SERVED: f64 = 0.1;
 
+/// Least surplus of a region that a host which has just started sends outside: the parts that callers and targets stand in
+/// are estimates.
+const MIN_SURPLUS: f64 = 0.2;
+
+/// Share of requests to send outside from the first one on, where a region has a part of all callers and a part of all
+/// slots. Sent outside, it leaves the region as busy as the others.
+pub fn surplus_share(callers: f64, slots: f64) -> f64 {
+    let surplus = 1.0 - slots / callers.max(f64::MIN_POSITIVE);
+    if surplus >= MIN_SURPLUS { surplus.min(1.0) } else { 0.0 }
+}
+
 /// The share of a service's requests that runs outside the region of its callers.
 #[derive(Clone, Debug)]
 pub struct SpillBand {
@@ -35,9 +46,9 @@
 }
 
 impl SpillBand {
-    /// A band that starts with all requests inside.
-    pub fn new(now: Instant) -> Self {
-        Self { share: 0.0, inside: 0.0, refused: 0.0, moved_at: now, lost_at: None }
+    /// A band that starts with a share of requests outside.
+    pub fn new(share: f64, now: Instant) -> Self {
+        Self { share, inside: 0.0, refused: 0.0, moved_at: now, lost_at: None }
     }
 
     /// A target of the region was lost.
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -75,13 +75,18 @@
     pub(super) times: IndexMap<RouteId, ServiceTimes>,
     pub(super) closed: IndexSet<DomainId>,
     pub(super) hosts: Vec<(BoardHost, u64)>,
+    pub(super) callers_part: f64,
+    pub(super) neighbour_shares: IndexMap<ServiceId, f64>,
 }
 
 impl TargetBoard {
-    /// A board of a host that knows no targets.
-    pub fn new(own: BoardHost, own_region: RegionId) -> Self {
+    /// A board of a host that knows no targets. `callers_part` is the part of all callers, 0 to 1, that its region is
+    /// expected to have.
+    pub fn new(own: BoardHost, own_region: RegionId, callers_part: f64) -> Self {
         Self {
             hosts: Vec::new(),
+            callers_part,
+            neighbour_shares: IndexMap::new(),
             own,
             own_region,
             targets: IndexMap::new(),
@@ -116,6 +121,21 @@
         }
     }
 
+    /// Shares of requests, by service, that this host sends outside its region, to a hundredth.
+    pub fn spill_shares(&self) -> IndexMap<ServiceId, f64> {
+        let rounded = |band: &SpillBand| (band.share() * 100.0).round() / 100.0;
+        let known = self.services.iter();
+        let shares = known.filter_map(|(name, record)| {
+            Some((name.clone(), record.band.as_ref().map(rounded)?))
+        });
+        shares.collect()
+    }
+
+    /// Takes the shares that other hosts of the region send outside; a service that is new here starts with them.
+    pub fn set_neighbour_shares(&mut self, shares: IndexMap<ServiceId, f64>) {
+        self.neighbour_shares = shares;
+    }
+
     /// Takes the failure domains that get no requests. Targets of a domain that is taken back may have become cold
     /// meanwhile, and count so for the cold time of their service.
     pub fn set_closed(&mut self, closed: IndexSet<DomainId>, now: Instant) {
@@ -168,8 +188,10 @@
     pub fn remove(&mut self, target: &str, now: Instant) -> bool {
         let Some(record) = self.targets.swap_remove(target) else { return false };
         if let Some(service) = self.services.get_mut(&record.entry.service) {
-            if record.entry.region == self.own_region {
-                service.band.get_or_insert_with(|| SpillBand::new(now)).target_lost(now);
+            if let Some(band) = &mut service.band
+                && record.entry.region == self.own_region
+            {
+                band.target_lost(now);
             }
             service.targets.retain(|name| &**name != target);
         }
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -193,7 +193,7 @@
         pressures in prop::collection::vec(0.0..3.0_f64, 10), per_second in 20_u64..200,
     ) {
         let start = Instant::now();
-        let mut band = SpillBand::new(start);
+        let mut band = SpillBand::new(0.0, start);
         let mut shares = Vec::new();
         for (second, pressure) in pressures.iter().flat_map(|one| [one, one]).enumerate() {
             for request in 0..per_second {
@@ -224,7 +224,7 @@
 
 cases! {
     a_lost_target_lets_spill_move_at_once: |now: Instant| {
-        let mut band = SpillBand::new(now);
+        let mut band = SpillBand::new(0.0, now);
         band.target_lost(now);
         for step in 0..100 {
             band.observe(1.5, 0.1, now + Duration::from_millis(step * 10));
@@ -232,7 +232,7 @@
         assert!(band.share() > 0.5, "{}", band.share());
     };
     spill_returns_when_the_region_has_room: |now: Instant| {
-        let mut band = SpillBand::new(now);
+        let mut band = SpillBand::new(0.0, now);
         for step in 0..2_000 {
             let pressure = if step < 800 { 1.2 } else { 0.2 };
             band.observe(pressure, 0.1, now + Duration::from_millis(step * 10));
@@ -240,15 +240,38 @@
         assert_eq!(band.share(), 0.0);
     };
     refused_requests_are_pressure_too: |now: Instant| {
-        let mut band = SpillBand::new(now);
+        let mut band = SpillBand::new(0.0, now);
         for step in 0..600 {
             band.decided(step % 2 == 0);
             band.observe(0.8, 0.8, now + Duration::from_millis(step * 10));
         }
         assert!(band.share() > 0.2, "{}", band.share());
     };
+    a_region_with_few_targets_sends_its_surplus_outside_from_the_start: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        for number in 13..=24 {
+            board.put(entry(&format!("t{number}"), "d3", "r2"), now);
+        }
+        let outside = (0..300).filter(|object| {
+            let choice = Ask::of_object(*object).choose(&mut board.clone(), now).unwrap();
+            choice.failure_domain != "d1".into() && choice.failure_domain != "d2".into()
+        });
+        // A third of the callers and a sixth of the slots: half of the requests.
+        assert!((120..=180).contains(&outside.count()));
+    };
+    a_region_with_its_part_of_the_targets_keeps_its_requests_at_the_start: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        Ask::of_object(1).choose(&mut board, now).unwrap();
+        assert_eq!(board.spill_shares()["service"], 0.0);
+    };
+    a_host_that_starts_sends_outside_what_its_neighbours_do: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        board.set_neighbour_shares([("service".into(), 0.4)].into());
+        Ask::of_object(1).choose(&mut board, now).unwrap();
+        assert_eq!(board.spill_shares()["service"], 0.4);
+    };
     the_same_objects_run_outside: |now: Instant| {
-        let mut band = SpillBand::new(now);
+        let mut band = SpillBand::new(0.0, now);
         for step in 0..600 {
             band.observe(1.2, 0.1, now + Duration::from_millis(step * 10));
         }
--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -15,6 +15,8 @@
 const HEAVY: f64 = 241.0;
 const BURST: f64 = 410.0;
 const SECONDS: f64 = 30.0;
+/// The first seconds of a day, a fifth of it.
+const START_SECONDS: f64 = 6.0;
 const SEEDS: [u64; 3] = [1, 2, 3];
 /// Share of the worth owed that the gate asks for on the heaviest standard day.
 const GATE_FLOOR: f64 = 0.27;
@@ -52,3 +54,14 @@
         assert!(report.late + report.refused < report.asked / 2, "{report:?}");
     }
 }
+
+/// A region with a sixth of the slots and a third of the callers is served from the first seconds on, when no object is
+/// warm anywhere: not under three quarters as well as all together.
+#[test]
+fn a_region_with_few_targets_is_served_from_the_start() {
+    for seed in SEEDS {
+        let report = play(Way::Board, HEAVY, START_SECONDS, seed);
+        println!("{report:?}");
+        assert!(report.worst_share() >= report.timely_share() * 0.75, "{report:?}");
+    }
+}
--- a/crates/coordination/tests/support/fleet_parts.rs
+++ b/crates/coordination/tests/support/fleet_parts.rs
@@ -19,6 +19,9 @@
 /// Latency objective of the test route.
 pub const OBJECTIVE: Duration = Duration::from_millis(250);
 
+/// Part of the callers that one of three regions expects.
+const CALLERS_PART: f64 = 1.0 / 3.0;
+
 /// A heartbeat of a host.
 pub fn news(host: &str, incarnation: u64, beat: u64) -> HostNews {
     HostNews {
@@ -34,6 +37,7 @@
         applied: [0; 3],
         reaches_store: true,
         demand: IndexMap::new(),
+        spill: IndexMap::new(),
     }
 }
 
@@ -55,7 +59,7 @@
 /// A board of a host with twelve targets in three regions of two failure domains.
 pub fn board(host: &str, domain: &str, region: &str, now: Instant) -> TargetBoard {
     let own = BoardHost { host: host.into(), failure_domain: domain.into() };
-    let mut board = TargetBoard::new(own, region.into());
+    let mut board = TargetBoard::new(own, region.into(), CALLERS_PART);
     for number in 1..=12 {
         let place = (number - 1) % 6;
         let (domain, region) = (format!("d{}", place + 1), format!("r{}", place / 2 + 1));
@@ -67,7 +71,7 @@
 /// A board of a host with one target, which is cold. A host that does not see all hosts sees itself only.
 pub fn cold_board(host: &str, all: &[String], sees_all: bool, now: Instant) -> TargetBoard {
     let place = |name: &str| BoardHost { host: name.into(), failure_domain: "d1".into() };
-    let mut board = TargetBoard::new(place(host), "r1".into());
+    let mut board = TargetBoard::new(place(host), "r1".into(), 1.0);
     let service = ("service".into(), 9.2, Duration::from_secs(30));
     board.set_services([service].into_iter());
     board.put(TargetEntry { cold_for: Duration::from_secs(30), ..entry("t", "d1", "r1") }, now);
--- a/crates/coordination/tests/support/overload_model.rs
+++ b/crates/coordination/tests/support/overload_model.rs
@@ -201,6 +201,7 @@
             load: 0.0,
             wait: Duration::ZERO,
             expected: Duration::ZERO,
+            pressure: 0.0,
         };
         return Some((index, choice));
     }
@@ -276,7 +277,7 @@
         for number in 0..HOSTS_PER_DOMAIN {
             let host = format!("host-{domain}-{number}").into();
             let own = BoardHost { host, failure_domain: domain.into() };
-            let mut board = TargetBoard::new(own.clone(), region.into());
+            let mut board = TargetBoard::new(own.clone(), region.into(), 1.0 / REGIONS.len() as f64);
             for target in targets {
                 board.put(target.entry.clone(), now);
             }
