What others have on targets is known to hosts that get few answers

Cause: the usual load of a service's targets took each report with a weight of 0.05 and was forgotten within 2 s at the same time. Ruled out: slow targets (their own reports say the queue), lost answers. Change: the weight of a report follows the time since the last one; forgetting begins after 2 s without any. Test that failed first: a_host_with_few_answers_knows_how_busy_targets_are.

--- a/crates/coordination/src/fleet/service_record.rs
+++ b/crates/coordination/src/fleet/service_record.rs
@@ -6,10 +6,13 @@
 use crate::fleet::SpillBand;
 use crate::ids::TargetId;
 
-/// Weight of the latest report in what others usually have on a target.
+/// Least weight of the latest report in what others usually have on a target.
 const LATEST_USUAL: f64 = 0.05;
-/// Time without any report in which that is forgotten, so that a host that refused all for a while tries again.
-const USUAL_MEMORY: Duration = Duration::from_secs(2);
+/// Time in which earlier reports lose their weight to later ones: some service times. A host that gets few answers learns as
+/// soon as one that gets many.
+const USUAL_MEMORY: Duration = Duration::from_secs(1);
+/// Time without any report after which all is forgotten by and by, so that a host that refused all for a while tries again.
+const USUAL_LIFE: Duration = Duration::from_secs(2);
 /// Weight of the latest service time in the mean of a target's slots.
 const LATEST_BUSY: f64 = 0.05;
 
@@ -34,13 +37,19 @@
 
 impl UsualLoad {
     pub(super) fn per_slot(&self, now: Instant) -> f64 {
-        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.per_slot * (-age.as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp()
+        let excess = self.age(now).saturating_sub(USUAL_LIFE);
+        self.per_slot * (-excess.as_secs_f64() / USUAL_LIFE.as_secs_f64()).exp()
     }
 
     pub(super) fn add(&mut self, per_slot: f64, now: Instant) {
         let known = self.per_slot(now);
-        *self = Self { per_slot: known + LATEST_USUAL * (per_slot - known), at: Some(now) };
+        let weight = 1.0 - (-self.age(now).as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp();
+        let weight = if self.at.is_none() { 1.0 } else { weight.max(LATEST_USUAL) };
+        *self = Self { per_slot: known + weight * (per_slot - known), at: Some(now) };
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 }
 
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -247,6 +247,19 @@
         }
         assert!(band.share() > 0.2, "{}", band.share());
     };
+    a_host_with_few_answers_knows_how_busy_targets_are: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        let mut later = now;
+        for object in 0..10 {
+            later += Duration::from_millis(400);
+            let choice = Ask::of_object(object).choose(&mut board, later).unwrap();
+            let load = TargetLoad { running: 6, waiting: 3, slots: 6 };
+            let end = AttemptEnd::Answered { time: Duration::from_millis(100) };
+            board.finished(&choice, &"route".into(), end, Some(load), later);
+        }
+        let record = Ask::of_object(1).choose(&mut board, later).unwrap();
+        assert!(record.pressure > 1.0, "{record:?}");
+    };
     a_region_with_few_targets_sends_its_surplus_outside_from_the_start: |now| {
         let mut board = board("h1", "d1", "r1", now);
         for number in 13..=24 {
