--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -7,6 +7,7 @@
 use coordination::fleet::EntryChange;
 use coordination::fleet::HostPhase;
 use coordination::fleet::HostRoster;
+use coordination::fleet::QuotaKeepers;
 use coordination::fleet::QuotaLedger;
 use coordination::fleet::RouteSplit;
 use coordination::fleet::TargetBoard;
@@ -34,8 +35,10 @@
 pub struct EntryCore {
     /// Targets.
     pub board: TargetBoard,
-    /// Parts of the customers' limits.
+    /// The customers' limits.
     pub quotas: QuotaLedger,
+    /// Hosts that hand out the customers' tokens.
+    pub keepers: QuotaKeepers,
     /// Other hosts.
     pub roster: HostRoster,
     pub(super) retries: IndexMap<ServiceId, RetryBudget>,
@@ -45,6 +48,7 @@
     pub(super) applied: [Revision; StatePart::ALL.len()],
     pub(super) histories: [ChangeHistory; StatePart::ALL.len()],
     pub(super) has_targets: bool,
+    pub(super) has_joined: bool,
     pub(super) unreached: [bool; StatePart::ALL.len()],
     pub(super) heard_at: [Instant; StatePart::ALL.len()],
     pub(super) beat: u64,
@@ -59,6 +63,7 @@
         Self {
             board: TargetBoard::new(board_host, own.region.clone(), callers_part),
             quotas: QuotaLedger::default(),
+            keepers: QuotaKeepers::default(),
             roster: HostRoster::default(),
             retries: IndexMap::new(),
             splits: IndexMap::new(),
@@ -67,6 +72,7 @@
             applied: [0; StatePart::ALL.len()],
             histories: Default::default(),
             has_targets: false,
+            has_joined: false,
             unreached: [false; StatePart::ALL.len()],
             heard_at: [Instant::now(); StatePart::ALL.len()],
             beat: 0,
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -33,6 +33,11 @@
     outcome: Cow<'static, str>,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct SourceLabels {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct PartLabels {
     part: &'static str,
@@ -48,6 +53,7 @@
     sent: Counter,
     repeated: Counter,
     store_calls: Family<PartLabels, Counter>,
+    token_asks: Family<SourceLabels, Counter>,
     dropped_lines: Gauge<u64, AtomicU64>,
     hosts: Gauge<u64, AtomicU64>,
     targets: Gauge<u64, AtomicU64>,
@@ -81,6 +87,7 @@
             sent: Counter::default(),
             repeated: Counter::default(),
             store_calls: Family::default(),
+            token_asks: Family::default(),
             dropped_lines: Gauge::default(),
             hosts: Gauge::default(),
             targets: Gauge::default(),
@@ -114,6 +121,11 @@
         self.store_calls.get_or_create(&PartLabels { part, result }).inc();
     }
 
+    /// Counts a question to a keeper of tokens by where the token then came from.
+    pub fn tokens(&self, source: &'static str) {
+        self.token_asks.get_or_create(&SourceLabels { source }).inc();
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
@@ -141,6 +153,8 @@
         registry.register("repeated", "Requests sent to a further target", self.repeated.clone());
         let calls = "Calls to the store by part of the state and result";
         registry.register("store_calls", calls, self.store_calls.clone());
+        let asks = "Questions for customers' tokens by where the token came from";
+        registry.register("token_asks", asks, self.token_asks.clone());
         let dropped = "Log lines dropped since the start";
         registry.register("dropped_log_lines", dropped, self.dropped_lines.clone());
         registry.register("live_hosts", "Other hosts heard lately", self.hosts.clone());
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -33,6 +33,7 @@
 use crate::entry::GuardedDialer;
 use crate::entry::PeerReader;
 use crate::entry::StateFollower;
+use crate::entry::TokenDesk;
 use crate::entry::answer_peer;
 use crate::entry::hosts_for;
 use crate::entry::look_up_life;
@@ -106,7 +107,9 @@
             let source = Arc::clone(&parts.source);
             tasks.spawn(StateFollower::new(Arc::clone(&state), source, peers, part).run());
         }
-        tasks.spawn(GossipLoop::new(Arc::clone(&state), socket, seeds).run());
+        let socket = Arc::new(socket);
+        let desk = Arc::new(TokenDesk::new(Arc::clone(&socket)));
+        tasks.spawn(GossipLoop::new(Arc::clone(&state), socket, Arc::clone(&desk), seeds).run());
         tasks.spawn(serve_mesh(mesh_listener, Arc::clone(&state)));
         tasks.spawn(serve_look_ups(look_ups, Arc::clone(&state), Arc::clone(&parts.dialect)));
         tasks.spawn(serve_readiness(readiness, Arc::clone(&state), Arc::clone(&parts.dialect)));
@@ -115,7 +118,8 @@
             tasks.spawn(serve_metrics(metrics, Arc::clone(&state)));
         }
         let phase = watch::Sender::new(ServerPhase::Serving);
-        let front = FrontService::new(Arc::clone(&state), parts.dialect, TargetPool::new(dialer));
+        let front =
+            FrontService::new(Arc::clone(&state), parts.dialect, TargetPool::new(dialer), desk);
         let callers = start_callers(callers_listener, front, phase.subscribe());
         info!("host started", kv: {
             host: = state.own().host,
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -13,6 +13,8 @@
 use coordination::fleet::BoardHost;
 use coordination::fleet::HostNews;
 use coordination::fleet::HostPhase;
+use coordination::fleet::QuotaKeepers;
+use coordination::fleet::QuotaView;
 use coordination::ids::DomainId;
 use coordination::ids::HostId;
 use coordination::ids::Incarnation;
@@ -21,6 +23,7 @@
 use coordination::ids::RouteId;
 use coordination::ids::ServiceId;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use spdlog::info;
 use tokio::sync::watch;
 
@@ -38,6 +41,11 @@
 /// Hosts of a region that follow the store in a large fleet: one, and one that stands by.
 const RELAYS: usize = 2;
 
+/// Longest time after its start that a host waits for others before it serves: three heartbeats of theirs.
+const LONGEST_JOIN: Duration = Duration::from_millis(1_500);
+/// Time that it waits at least, as those that started along with it know no more than itself.
+const SHORTEST_JOIN: Duration = Duration::from_millis(500);
+
 /// Names and addresses of this host.
 #[derive(Clone, Debug)]
 pub struct EntryIdentity {
@@ -89,6 +97,7 @@
     configuration: ArcSwapOption<EntryConfiguration>,
     changed: watch::Sender<u64>,
     core: Mutex<EntryCore>,
+    started_at: Instant,
 }
 
 impl EntryState {
@@ -103,6 +112,7 @@
             configuration: ArcSwapOption::empty(),
             changed: watch::Sender::new(0),
             core,
+            started_at: Instant::now(),
         })
     }
 
@@ -305,6 +315,12 @@
         let now = Instant::now();
         let mut core = self.lock();
         core.beat += 1;
+        let demand = core.quotas.demand(now);
+        HostNews { demand, spill: core.board.spill_shares(), ..self.describe(&core) }
+    }
+
+    /// This host as others know it, without figures.
+    fn describe(&self, core: &EntryCore) -> HostNews {
         HostNews {
             host: self.own.host.clone(),
             incarnation: self.own.incarnation,
@@ -317,8 +333,9 @@
             capacity: self.settings.capacity_cores,
             applied: core.applied,
             reaches_store: !core.unreached.contains(&true),
-            demand: core.quotas.demand(now),
-            spill: core.board.spill_shares(),
+            fleet: core.roster.counted().count() + 1,
+            demand: IndexMap::new(),
+            spill: IndexMap::new(),
         }
     }
 
@@ -327,20 +344,17 @@
         let now = Instant::now();
         let has_configuration = self.configuration.load().is_some();
         let mut core = self.lock();
-        if core.phase == HostPhase::Starting && has_configuration && core.has_targets {
+        self.join(&mut core, now);
+        let is_ready = has_configuration && core.has_targets && core.has_joined;
+        if core.phase == HostPhase::Starting && is_ready {
             core.phase = HostPhase::Serving;
             info!("host is ready", kv: { host: = self.own.host, applied:? = core.applied });
         }
         core.drop_vanished(now);
         core.roster.prune(now);
+        self.rebalance(&mut core, now);
         let own = &self.own.host;
-        let EntryCore { roster, quotas, board, .. } = &mut *core;
-        let others = |customer: &str| {
-            let demand = |news: &HostNews| news.demand.get(customer).copied().unwrap_or(0.0);
-            let peers = roster.counted().filter(|news| news.host != *own);
-            peers.map(|news| f64::from(demand(news))).collect()
-        };
-        quotas.rebalance(others, now);
+        let EntryCore { roster, board, .. } = &mut *core;
         let hosts = roster.counted().filter(|news| news.host != *own).map(board_host);
         let own_host =
             BoardHost { host: own.clone(), failure_domain: self.own.failure_domain.clone() };
@@ -349,6 +363,47 @@
         board.set_neighbour_shares(mean_shares(roster.live(now).filter(near)));
     }
 
+    /// Whether this host knows the fleet well enough to decide beside the others.
+    pub fn has_joined(&self) -> bool {
+        self.lock().has_joined
+    }
+
+    /// Notes that this host has heard of as many others as they know. A host that knew few would take itself for the one
+    /// that sends to cold targets and keeps customers' tokens.
+    fn join(&self, core: &mut EntryCore, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.started_at);
+        let known = core.roster.counted().count() + 1;
+        let told = core.roster.counted().map(|news| news.fleet).max();
+        core.has_joined |= match told {
+            _ if elapsed >= LONGEST_JOIN || self.is_alone() => true,
+            Some(told) => elapsed >= SHORTEST_JOIN && known >= told,
+            None => false,
+        };
+    }
+
+    fn is_alone(&self) -> bool {
+        self.settings.seeds.iter().all(|seed| *seed == self.own.mesh)
+    }
+
+    /// Finds the keepers of customers' tokens among the hosts known, and shares out the limits that this host keeps.
+    fn rebalance(&self, core: &mut EntryCore, now: Instant) {
+        let itself = self.describe(core);
+        let EntryCore { roster, quotas, keepers, .. } = core;
+        let others = roster.with_life(now).filter(|(news, _)| news.host != self.own.host);
+        *keepers =
+            QuotaKeepers::of(&self.own.region, others.chain(std::iter::once((&itself, true))));
+        let keeps = |customer: &str| {
+            let keeper = keepers.keeper_of(customer);
+            keeper.is_some_and(|keeper| keeper.host == self.own.host)
+        };
+        let far: IndexSet<&RegionId> =
+            self.settings.domains.values().filter(|region| **region != self.own.region).collect();
+        let others =
+            |customer: &str| far.iter().map(|region| roster.demand_of(region, customer)).collect();
+        let hosts = roster.counted().count() + 1;
+        quotas.rebalance(&QuotaView { hosts, keeps: &keeps, others: &others }, now);
+    }
+
     fn put_configuration(
         &self,
         core: &mut EntryCore,
--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -8,6 +8,8 @@
 use coordination::fleet::PlacementAsk;
 use coordination::fleet::PlacementChoice;
 use coordination::fleet::PlacementRefusal;
+use coordination::fleet::QuotaDecision;
+use coordination::fleet::TokenGrant;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
 use http::Request;
@@ -33,6 +35,7 @@
 use crate::entry::EntryState;
 use crate::entry::RequestCount;
 use crate::entry::RequestFacts;
+use crate::entry::TokenDesk;
 use crate::entry::request_facts::asks_upgrade;
 use crate::interface::CallerDialect;
 use crate::logging::ROUTINE_MESSAGE;
@@ -55,11 +58,13 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
     runner: AttemptRunner,
+    desk: Arc<TokenDesk>,
 }
 
 /// What a request's log line says beside its end.
-#[derive(Default)]
 struct RequestTrail {
+    /// Where the customer's token came from.
+    tokens: &'static str,
     service: Option<ServiceId>,
     target: Option<TargetId>,
     tries: u64,
@@ -72,9 +77,14 @@
 
 impl FrontService {
     /// A service over what the host knows.
-    pub fn new(state: Arc<EntryState>, dialect: Arc<dyn CallerDialect>, pool: TargetPool) -> Self {
+    pub fn new(
+        state: Arc<EntryState>,
+        dialect: Arc<dyn CallerDialect>,
+        pool: TargetPool,
+        desk: Arc<TokenDesk>,
+    ) -> Self {
         let runner = AttemptRunner::new(pool, Arc::clone(&dialect));
-        Self { state, dialect, runner }
+        Self { state, dialect, runner, desk }
     }
 
     /// Serves one request.
@@ -108,7 +118,7 @@
         remove_hop_by_hop(&mut head.headers);
         head.extensions.clear();
         let job = EntryJob::new(facts, head, upload);
-        let mut trail = RequestTrail::default();
+        let mut trail = RequestTrail::new();
         let result = self.run(&job, &mut trail).await;
         self.log(&job, &trail, &result);
         drain(&job.upload).await;
@@ -123,11 +133,11 @@
         job: &EntryJob,
         trail: &mut RequestTrail,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        self.spend(job)?;
+        self.spend(job, trail).await?;
         let result = self.run_within_limit(job, trail).await;
         match (&result, &job.facts.customer) {
             (Err(refusal), Some(customer)) if refusal.not_run => {
-                self.state.lock().quotas.refund(customer);
+                self.state.lock().quotas.refund(customer, Instant::now());
             }
             _ => {}
         }
@@ -150,13 +160,33 @@
         }
     }
 
-    /// Takes the request out of its customer's limit.
-    fn spend(&self, job: &EntryJob) -> Result<(), Refusal> {
+    /// Takes the request out of its customer's limit: out of what this host holds, or else it asks the keeper.
+    async fn spend(&self, job: &EntryJob, trail: &mut RequestTrail) -> Result<(), Refusal> {
         let Some(customer) = &job.facts.customer else { return Ok(()) };
-        let spent = self.state.lock().quotas.admit(customer, Instant::now());
-        spent.map_err(|wait| {
-            Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "rate-exceeded").retry_after(wait)
-        })
+        let (decision, keeper) = {
+            let mut core = self.state.lock();
+            let decision = core.quotas.admit(customer, Instant::now());
+            (decision, core.keepers.keeper_of(customer).map(|keeper| keeper.mesh))
+        };
+        let decision = match decision {
+            QuotaDecision::Ask { tokens } => {
+                let grant = match keeper {
+                    Some(keeper) => self.desk.ask(keeper, customer, tokens).await,
+                    None => None,
+                };
+                trail.tokens = token_source(grant);
+                self.state.metrics().tokens(trail.tokens);
+                self.state.lock().quotas.receive(customer, grant, Instant::now())
+            }
+            decision => decision,
+        };
+        match decision {
+            QuotaDecision::Refused { wait } => {
+                let refusal = Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "rate-exceeded");
+                Err(refusal.retry_after(self.pause(wait)))
+            }
+            QuotaDecision::Admitted | QuotaDecision::Ask { .. } => Ok(()),
+        }
     }
 
     fn draw_service(&self, job: &EntryJob) -> Result<ServiceId, Refusal> {
@@ -307,6 +337,7 @@
             request_id: = facts.attempt,
             route: = facts.route.name,
             customer: = facts.customer.as_deref().unwrap_or("-"),
+            tokens: = trail.tokens,
             service: = trail.service.as_deref().unwrap_or("-"),
             target: = trail.target.as_deref().unwrap_or("-"),
             tries = trail.tries,
@@ -328,6 +359,20 @@
 }
 
 impl RequestTrail {
+    fn new() -> Self {
+        Self {
+            tokens: "own",
+            service: None,
+            target: None,
+            tries: 0,
+            wait: Duration::ZERO,
+            load: 0.0,
+            pressure: 0.0,
+            is_warm: false,
+            expected_ms: 0,
+        }
+    }
+
     fn note(&mut self, choice: &PlacementChoice) {
         self.target = Some(choice.target.clone());
         self.tries += 1;
@@ -345,6 +390,16 @@
     }
 }
 
+/// Where a token comes from after a keeper was asked, as logs and metrics name it.
+fn token_source(grant: Option<TokenGrant>) -> &'static str {
+    match grant {
+        None => "reserve-unanswered",
+        Some(TokenGrant { tokens: 0, wait_ms: None }) => "reserve-no-keeper",
+        Some(TokenGrant { tokens: 0, .. }) => "keeper-refused",
+        Some(_) => "keeper",
+    }
+}
+
 /// The end of a request whose time is over. It has not run if nothing of it left this host.
 fn timeout(dispatches: u64) -> Refusal {
     match dispatches {
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -1,20 +1,20 @@
-//! Heartbeats between hosts in datagrams.
+//! Datagrams between hosts: heartbeats, and questions for customers' tokens.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use coordination::fleet::HostNews;
 use indexmap::IndexSet;
 use rand::seq::IndexedRandom;
-use serde::Deserialize;
-use serde::Serialize;
 use spdlog::info;
 use spdlog::warn;
 use tokio::net::UdpSocket;
 
 use crate::entry::EntryState;
+use crate::entry::TokenDesk;
+use crate::entry::mesh_datagram::HeartbeatNews;
+use crate::entry::mesh_datagram::MeshDatagram;
 
 /// Pause between checks of what time brings.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -24,31 +24,28 @@
 const FAN_OUT: usize = 6;
 /// Other hosts whose news ride on a heartbeat.
 const MAX_RIDERS: usize = 4;
+/// The same in the answer to a host that has just started and knows few.
+const MAX_INTRODUCED: usize = 16;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// A datagram between hosts.
-#[derive(Debug, Deserialize, Serialize)]
-struct GossipMessage {
-    /// News of the sender.
-    own: HostNews,
-    /// News of others that the sender heard.
-    others: Vec<HostNews>,
-    /// Whether the sender asks for an answer, as it does not know the receiver yet.
-    asks: bool,
-}
-
 /// Sends and takes heartbeats.
 pub struct GossipLoop {
     state: Arc<EntryState>,
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
+    desk: Arc<TokenDesk>,
     seeds: Vec<SocketAddr>,
 }
 
 impl GossipLoop {
     /// A loop on a socket. `seeds` are mesh addresses of some hosts.
-    pub fn new(state: Arc<EntryState>, socket: UdpSocket, seeds: Vec<SocketAddr>) -> Self {
-        Self { state, socket, seeds }
+    pub fn new(
+        state: Arc<EntryState>,
+        socket: Arc<UdpSocket>,
+        desk: Arc<TokenDesk>,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        Self { state, socket, desk, seeds }
     }
 
     /// Runs until dropped.
@@ -61,14 +58,14 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.state.tick();
-                    if tick.is_multiple_of(TICKS_PER_BEAT) {
+                    if tick.is_multiple_of(TICKS_PER_BEAT) || !self.state.has_joined() {
                         self.beat().await;
                     }
                     tick += 1;
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, sender)) => self.take(&buffer[..length], sender).await,
-                    Err(error) => warn!("heartbeat not received", kv: { reason: = error }),
+                    Err(error) => warn!("datagram not received", kv: { reason: = error }),
                 },
             }
         }
@@ -81,43 +78,47 @@
             let core = self.state.lock();
             let known: Vec<SocketAddr> = core.roster.counted().map(|news| news.mesh).collect();
             receivers.extend(known.sample(&mut rand::rng(), FAN_OUT));
+            // Keepers share out the limits over the regions by each other's demand, so they hear each other each time.
+            if core.keepers.is_keeper(&self.state.own().host) {
+                receivers.extend(core.keepers.far());
+            }
+        }
+        let has_joined = self.state.has_joined();
+        let seeds = self.seeds.iter().filter(|seed| **seed != own).copied().collect::<Vec<_>>();
+        match has_joined {
+            true => receivers.extend(seeds.choose(&mut rand::rng())),
+            false => receivers.extend(seeds),
         }
-        let stranger = self.seeds.iter().filter(|seed| **seed != own).collect::<Vec<_>>();
-        receivers.extend(stranger.choose(&mut rand::rng()).map(|seed| **seed));
         if receivers.is_empty() {
             return;
         }
-        let message = self.message(receivers.len() < FAN_OUT);
+        let message = self.message(MAX_RIDERS, !has_joined);
         for receiver in receivers {
-            self.send(&message, receiver).await;
+            message.send(&self.socket, receiver).await;
         }
     }
 
-    fn message(&self, asks: bool) -> GossipMessage {
+    fn message(&self, riders: usize, asks: bool) -> MeshDatagram {
         let own = self.state.news();
-        let mut others = self.state.lock().roster.sample(MAX_RIDERS, &mut rand::rng());
+        let mut others = self.state.lock().roster.sample(riders, &mut rand::rng());
         // The demand of many customers is the bulk of a heartbeat; it goes out with the host's own only.
         others.iter_mut().for_each(|news| news.demand.clear());
-        GossipMessage { own, others, asks }
+        MeshDatagram::Heartbeat(Box::new(HeartbeatNews { own, others, asks }))
     }
 
-    async fn send(&self, message: &GossipMessage, receiver: SocketAddr) {
-        let bytes = match serde_json::to_vec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => return warn!("heartbeat not written", kv: { reason: = error }),
-        };
-        if let Err(error) = self.socket.send_to(&bytes, receiver).await {
-            spdlog::debug!("heartbeat not sent", kv: { receiver:, reason: = error });
+    async fn take(&self, bytes: &[u8], sender: SocketAddr) {
+        match serde_json::from_slice(bytes) {
+            Ok(MeshDatagram::Heartbeat(news)) => self.take_news(*news).await,
+            Ok(MeshDatagram::TokenAsk { number, customer, tokens }) => {
+                let grant = self.state.lock().quotas.grant(&customer, tokens, Instant::now());
+                MeshDatagram::TokenGrant { number, grant }.send(&self.socket, sender).await;
+            }
+            Ok(MeshDatagram::TokenGrant { number, grant }) => self.desk.answered(number, grant),
+            Err(error) => warn!("datagram not understood", kv: { sender:, reason: = error }),
         }
     }
 
-    async fn take(&self, bytes: &[u8], sender: SocketAddr) {
-        let message: GossipMessage = match serde_json::from_slice(bytes) {
-            Ok(message) => message,
-            Err(error) => {
-                return warn!("heartbeat not understood", kv: { sender:, reason: = error });
-            }
-        };
+    async fn take_news(&self, message: HeartbeatNews) {
         let (now, own) = (Instant::now(), &self.state.own().host);
         if message.own.host == *own {
             return;
@@ -140,7 +141,8 @@
             !is_known
         };
         if is_stranger || asks {
-            self.send(&self.message(false), receiver).await;
+            let riders = if asks { MAX_INTRODUCED } else { MAX_RIDERS };
+            self.message(riders, false).send(&self.socket, receiver).await;
         }
     }
 }
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -14,10 +14,12 @@
 mod guarded_dialer;
 mod held_body;
 mod look_up;
+mod mesh_datagram;
 mod peer_reader;
 mod request_facts;
 mod settings_watch;
 mod state_follower;
+mod token_desk;
 
 pub use attempt_guard::AttemptGuard;
 pub use attempt_runner::AttemptResult;
@@ -48,3 +50,4 @@
 pub use request_facts::RequestFacts;
 pub use settings_watch::SettingsWatch;
 pub use state_follower::StateFollower;
+pub use token_desk::TokenDesk;
--- /dev/null
+++ b/crates/buckthornturn/src/entry/token_desk.rs
@@ -0,0 +1,80 @@
+//! Asks the keepers of customers' tokens for some.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use coordination::fleet::TokenGrant;
+use coordination::ids::CustomerId;
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::entry::mesh_datagram::MeshDatagram;
+
+/// Longest wait for a keeper: the round trip within a region takes 2 ms, and a host whose processor share is used up stands
+/// still for the rest of a tenth of a second.
+const ASK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Most questions that wait for an answer; bounds memory while no keeper answers.
+const MAX_PENDING: usize = 1_024;
+
+/// Asks the keepers of customers' tokens for some.
+pub struct TokenDesk {
+    socket: Arc<UdpSocket>,
+    pending: Mutex<IndexMap<u64, oneshot::Sender<TokenGrant>>>,
+    next: AtomicU64,
+}
+
+/// A question that waits for its answer. Dropped, it waits no more.
+struct PendingAsk<'a> {
+    desk: &'a TokenDesk,
+    number: u64,
+}
+
+impl TokenDesk {
+    /// A desk that asks through a socket whose receiver calls `answered`.
+    pub fn new(socket: Arc<UdpSocket>) -> Self {
+        Self { socket, pending: Mutex::default(), next: AtomicU64::default() }
+    }
+
+    /// Asks a keeper; `None` if no answer comes in time.
+    pub async fn ask(
+        &self,
+        keeper: SocketAddr,
+        customer: &CustomerId,
+        tokens: u32,
+    ) -> Option<TokenGrant> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+            if pending.len() >= MAX_PENDING {
+                return None;
+            }
+            pending.insert(number, sender);
+        }
+        let _waiting = PendingAsk { desk: self, number };
+        let ask = MeshDatagram::TokenAsk { number, customer: customer.clone(), tokens };
+        ask.send(&self.socket, keeper).await;
+        tokio::time::timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
+    }
+
+    /// Takes an answer; one that nobody waits for any more is dropped.
+    pub fn answered(&self, number: u64, grant: TokenGrant) {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sender) = pending.swap_remove(&number) {
+            let _ = sender.send(grant);
+        }
+    }
+}
+
+impl Drop for PendingAsk<'_> {
+    fn drop(&mut self) {
+        let mut pending = self.desk.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.swap_remove(&self.number);
+    }
+}
--- a/crates/buckthornturn/src/membership/host_status.rs
+++ b/crates/buckthornturn/src/membership/host_status.rs
@@ -57,14 +57,7 @@
         plans: PlanCell,
         store: Arc<StoreGuard>,
     ) -> Self {
-        Self {
-            identity,
-            configuration,
-            freshness,
-            plans,
-            store,
-            leaving: AtomicBool::new(false),
-        }
+        Self { identity, configuration, freshness, plans, store, leaving: AtomicBool::new(false) }
     }
 
     /// Names and addresses.
--- a/crates/buckthornturn/tests/platform/state.rs
+++ b/crates/buckthornturn/tests/platform/state.rs
@@ -16,6 +16,11 @@
 /// The least of the platform's bounds on a change: 2 s for a configuration.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
 
+/// Time after which a lower limit is shared out anew: several checks of what time brings.
+const SHARES_SETTLED: Duration = Duration::from_secs(1);
+/// Requests a second of a customer with a low limit, and its burst.
+const LIMIT_RATE: f64 = 10.0;
+
 async fn status_soon(fleet: &EntryFleet, host: usize, status: u16) -> Duration {
     let started_at = Instant::now();
     fleet
@@ -208,3 +213,26 @@
     );
     assert!(end.await.unwrap());
 }
+
+#[tokio::test]
+async fn hosts_share_a_limit_through_the_keeper() {
+    let fleet = EntryFleet::start(3, 1).await;
+    let limited = configuration("2", &["key-2"], LIMIT_RATE);
+    fleet.store.put("config", "main", limited);
+    let call = || CallerCall::page().with("x-credential", "key-2");
+    for host in 0..3 {
+        fleet.until("the new key", async || fleet.ask(host, call()).await.status() != 401).await;
+    }
+    tokio::time::sleep(SHARES_SETTLED).await;
+    let mut served = [0; 3];
+    let started_at = Instant::now();
+    for _ in 0..30 {
+        for (host, served) in served.iter_mut().enumerate() {
+            *served += u32::from(fleet.ask(host, call()).await.status() == 200);
+        }
+    }
+    let seconds = started_at.elapsed().as_secs_f64();
+    let tolerated = (LIMIT_RATE * seconds + LIMIT_RATE) * 1.1 + 20.0;
+    assert!(f64::from(served.iter().sum::<u32>()) <= tolerated, "{served:?} in {seconds} s");
+    assert!(served.iter().all(|served| *served > 0), "{served:?}");
+}
--- a/crates/coordination/src/fleet/customer_share.rs
+++ b/crates/coordination/src/fleet/customer_share.rs
@@ -1,22 +1,16 @@
-//! The part of a customer's limit that one host may give out.
+//! The part of a customer's limit that one region may give out.
 
-/// Part of a limit that is split evenly, so that a host without demand so far can serve at once; the rest follows demand.
+/// Part of a limit that is split evenly, so that a region without demand so far can serve at once; the rest follows demand.
 const EVEN_PART: f64 = 0.3;
-/// Hosts assumed while no other host was ever heard: a cut-off host must not take a whole limit.
-const ASSUMED_HOSTS: f64 = 8.0;
 
-/// The part of a limit, 0 to 1, for a host with `own` demand beside hosts with the demands given. Hosts that see the same
-/// demands take parts that add up to 1.
-pub fn share_of_limit(own: f64, others: impl Iterator<Item = f64>) -> f64 {
-    let (count, demand) =
-        others.fold((0.0, 0.0), |(count, demand), other| (count + 1.0, demand + other.max(0.0)));
-    if count == 0.0 {
-        return 1.0 / ASSUMED_HOSTS;
-    }
-    let even = 1.0 / (count + 1.0);
-    let total = own + demand;
+/// The part of a limit, 0 to 1, for a region with `own` demand beside others. `others` tells the demand of each other
+/// region, `None` for one that was never heard, which counts as having as much. Regions that see the same demands take parts
+/// that add up to 1.
+pub fn share_of_limit(own: f64, others: &[Option<f64>]) -> f64 {
+    let regions = others.len() as f64 + 1.0;
+    let total = own + others.iter().map(|demand| demand.unwrap_or(own).max(0.0)).sum::<f64>();
     match total > 0.0 {
-        true => EVEN_PART * even + (1.0 - EVEN_PART) * own / total,
-        false => even,
+        true => EVEN_PART / regions + (1.0 - EVEN_PART) * own / total,
+        false => 1.0 / regions,
     }
 }
--- a/crates/coordination/src/fleet/host_news.rs
+++ b/crates/coordination/src/fleet/host_news.rs
@@ -51,6 +51,8 @@
     pub applied: [Revision; 3],
     /// Whether its latest calls to the store were answered.
     pub reaches_store: bool,
+    /// Hosts that it knows, itself included.
+    pub fleet: usize,
     /// Requests a second of each customer whose tokens it keeps, over all hosts of its region.
     pub demand: IndexMap<CustomerId, f32>,
     /// Shares of requests, by service, that it sends outside its region.
--- a/crates/coordination/src/fleet/host_roster.rs
+++ b/crates/coordination/src/fleet/host_roster.rs
@@ -11,6 +11,7 @@
 use crate::fleet::HostPhase;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::ids::RegionId;
 
 /// Time without a heartbeat after which a host is not named to callers; the platform allows 6 s.
 pub const LISTED_FOR: Duration = Duration::from_millis(2_500);
@@ -99,6 +100,22 @@
         self.entries.values().map(|entry| &entry.news)
     }
 
+    /// Hosts that may still serve, each with whether it was heard lately.
+    pub fn with_life(&self, now: Instant) -> impl Iterator<Item = (&HostNews, bool)> {
+        let is_live =
+            move |entry: &RosterEntry| now.saturating_duration_since(entry.heard_at) <= LISTED_FOR;
+        self.entries.values().map(move |entry| (&entry.news, is_live(entry)))
+    }
+
+    /// Requests a second of a customer in a region as its keeper last told; `None` if no host of the region is known. Where
+    /// the keeper changed, the higher figure counts.
+    pub fn demand_of(&self, region: &RegionId, customer: &str) -> Option<f64> {
+        let hosts = self.counted().filter(|news| news.region == *region);
+        let demands =
+            hosts.map(|news| f64::from(news.demand.get(customer).copied().unwrap_or(0.0)));
+        demands.reduce(f64::max)
+    }
+
     /// Up to `count` hosts at random that may still serve.
     pub fn sample<R: Rng>(&self, count: usize, rng: &mut R) -> Vec<HostNews> {
         let all: Vec<&HostNews> = self.counted().collect();
--- a/crates/coordination/src/fleet/quota_ledger.rs
+++ b/crates/coordination/src/fleet/quota_ledger.rs
@@ -1,4 +1,6 @@
-//! This host's parts of the customers' limits over the whole fleet.
+//! The customers' limits over the whole fleet. In each region one host keeps a customer's tokens and hands them out to the
+//! others, which ask for them as requests come. Answers customers at many times their usual, and small customers whose few
+//! requests come anywhere.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,11 +15,22 @@
 use crate::token_bucket::MICRO_TOKENS;
 use crate::token_bucket::TokenBucket;
 
-/// Tokens that all hosts together may hold beyond a customer's burst, so that a small burst can be split; three quarters of
-/// the requests beyond the limit that the platform tolerates in a window (`quota_slack`).
+/// Tokens that the pools of all regions may hold beyond a customer's burst, so that a small burst can be split; three quarters of the
+/// requests beyond the limit that the platform tolerates in a window (`quota_slack`).
 const SPARE_TOKENS: f64 = 15.0;
-/// Most spare tokens of one host.
-const MAX_SPARE_TOKENS: f64 = 2.0;
+/// Part of the limit that hosts share evenly for when no keeper answers. A failure domain that is cut off has a ninth to a
+/// sixth of the hosts, so that it admits no more than the tenth that the platform tolerates (`quota_overage`).
+const RESERVE_PART: f64 = 0.6;
+/// Time for which tokens that were handed out may be spent.
+const LEASE_TIME: Duration = Duration::from_secs(1);
+/// Demand for which tokens are asked at once, in seconds.
+const ASKED_AHEAD: f64 = 0.25;
+/// Most tokens asked for at once.
+const MAX_ASKED: u32 = 32;
+/// Most tokens that a host holds.
+const MAX_LEASED: u32 = 64;
+/// Wait that is told where nothing says when a token is there.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
 
 /// A customer's limit over the whole fleet.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -28,7 +41,43 @@
     pub burst: f64,
 }
 
-/// This host's parts of the customers' limits.
+/// Whether a request is within its customer's limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaDecision {
+    /// It is.
+    Admitted,
+    /// The keeper of the customer's tokens has to be asked for some.
+    Ask {
+        /// How many.
+        tokens: u32,
+    },
+    /// It is not.
+    Refused {
+        /// Time until a request would be.
+        wait: Duration,
+    },
+}
+
+/// A keeper's answer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenGrant {
+    /// Tokens handed out.
+    pub tokens: u32,
+    /// Milliseconds until there is one, if none was handed out; `None` from a host that is no keeper of them.
+    pub wait_ms: Option<u64>,
+}
+
+/// The fleet as the ledger sees it.
+pub struct QuotaView<'a> {
+    /// Hosts of the fleet.
+    pub hosts: usize,
+    /// Whether this host keeps a customer's tokens in its region.
+    pub keeps: &'a dyn Fn(&str) -> bool,
+    /// Requests a second of a customer in each other region, `None` for a region that was never heard.
+    pub others: &'a dyn Fn(&str) -> Vec<Option<f64>>,
+}
+
+/// The customers' limits as one host keeps them.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaLedger {
     accounts: IndexMap<CustomerId, QuotaAccount>,
@@ -37,12 +86,24 @@
 #[derive(Clone, Debug)]
 struct QuotaAccount {
     limit: CustomerLimit,
+    meter: DemandMeter,
+    leased: u32,
+    lease_end: Instant,
+    reserve: TokenBucket,
+    pool: Option<TokenPool>,
+}
+
+/// The tokens of a customer for one region.
+#[derive(Clone, Debug)]
+struct TokenPool {
     bucket: TokenBucket,
     meter: DemandMeter,
+    /// Demand as the other regions know it: shares that each region reckons from the same figures add up to the limit.
+    told: f64,
 }
 
 impl QuotaLedger {
-    /// Takes the limits in force; a customer that is new starts with the smallest share until the next `rebalance`.
+    /// Takes the limits in force; a customer that is new starts with nothing until the next `rebalance`.
     pub fn set_limits(
         &mut self,
         limits: impl Iterator<Item = (CustomerId, CustomerLimit)>,
@@ -52,71 +113,167 @@
         for (customer, limit) in limits.filter(|(_, limit)| limit.rate > 0.0) {
             let account = match self.accounts.swap_remove(&customer) {
                 Some(account) => QuotaAccount { limit, ..account },
-                None => QuotaAccount {
-                    limit,
-                    bucket: TokenBucket::new(now),
-                    meter: DemandMeter::new(now),
-                },
+                None => QuotaAccount::new(limit, now),
             };
             accounts.insert(customer, account);
         }
         self.accounts = accounts;
     }
 
-    /// Adapts the shares to the demand that other hosts report.
-    pub fn rebalance<'a>(&mut self, others: impl Fn(&str) -> Vec<f64> + 'a, now: Instant) {
+    /// Adapts pools and reserves to the fleet.
+    pub fn rebalance(&mut self, view: &QuotaView<'_>, now: Instant) {
         for (customer, account) in &mut self.accounts {
-            let demands = others(customer);
-            let hosts = demands.len() as f64 + 1.0;
-            let own = account.meter.per_second(now) as f64 / MICRO_TOKENS as f64;
-            account.reshape(share_of_limit(own, demands.into_iter()), hosts, now);
+            account.rebalance(view, customer, now);
         }
     }
 
-    /// Takes one request of a customer out of its limit.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time until a request would be within the limit.
-    pub fn admit(&mut self, customer: &str, now: Instant) -> Result<(), Duration> {
-        let Some(account) = self.accounts.get_mut(customer) else { return Ok(()) };
+    /// Takes one request of a customer out of what this host holds.
+    pub fn admit(&mut self, customer: &str, now: Instant) -> QuotaDecision {
+        let Some(account) = self.accounts.get_mut(customer) else { return QuotaDecision::Admitted };
         account.meter.count(MICRO_TOKENS, now);
-        account.bucket.fill(now);
-        match account.bucket.take(MICRO_TOKENS) {
-            true => Ok(()),
-            false => Err(account.bucket.time_until(MICRO_TOKENS).unwrap_or(Duration::from_secs(1))),
+        if account.take_leased(now) {
+            return QuotaDecision::Admitted;
+        }
+        let demand = account.meter.per_second(now) as f64 / MICRO_TOKENS as f64;
+        let tokens = ((demand * ASKED_AHEAD) as u32).clamp(1, MAX_ASKED);
+        match &mut account.pool {
+            None => QuotaDecision::Ask { tokens },
+            Some(pool) => match pool.grant(1, now) {
+                TokenGrant { tokens: 0, wait_ms } => QuotaDecision::Refused { wait: wait(wait_ms) },
+                _ => QuotaDecision::Admitted,
+            },
+        }
+    }
+
+    /// Hands tokens out to another host.
+    pub fn grant(&mut self, customer: &str, tokens: u32, now: Instant) -> TokenGrant {
+        let pool = self.accounts.get_mut(customer).and_then(|account| account.pool.as_mut());
+        match pool {
+            Some(pool) => pool.grant(tokens.min(MAX_ASKED), now),
+            None => TokenGrant { tokens: 0, wait_ms: None },
+        }
+    }
+
+    /// Takes a keeper's answer for a request that waits for it; `None` if none came in time.
+    pub fn receive(
+        &mut self,
+        customer: &str,
+        grant: Option<TokenGrant>,
+        now: Instant,
+    ) -> QuotaDecision {
+        let Some(account) = self.accounts.get_mut(customer) else { return QuotaDecision::Admitted };
+        match grant {
+            Some(TokenGrant { tokens: 0, wait_ms: Some(wait_ms) }) => {
+                QuotaDecision::Refused { wait: Duration::from_millis(wait_ms) }
+            }
+            Some(TokenGrant { tokens: 0, wait_ms: None }) | None => account.take_reserve(now),
+            Some(grant) => {
+                account.lease(grant.tokens.min(MAX_ASKED) - 1, now);
+                QuotaDecision::Admitted
+            }
         }
     }
 
     /// Gives back the token of a request that did not run.
-    pub fn refund(&mut self, customer: &str) {
+    pub fn refund(&mut self, customer: &str, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
-            account.bucket.add(MICRO_TOKENS);
+            account.lease(1, now);
         }
     }
 
-    /// Requests a second that this host sees of each customer with a limit.
+    /// Requests a second of each customer whose tokens this host keeps, over all hosts of the region, as it tells the
+    /// others now.
     pub fn demand(&mut self, now: Instant) -> IndexMap<CustomerId, f32> {
-        let rate =
-            |account: &mut QuotaAccount| account.meter.per_second(now) as f32 / MICRO_TOKENS as f32;
-        self.accounts
-            .iter_mut()
-            .map(|(customer, account)| (customer.clone(), rate(account)))
-            .filter(|(_, rate)| *rate > 0.0)
-            .collect()
+        let mut demand = IndexMap::new();
+        for (customer, account) in &mut self.accounts {
+            if let Some(pool) = &mut account.pool {
+                pool.told = pool.meter.per_second(now) as f64 / MICRO_TOKENS as f64;
+                demand.insert(customer.clone(), pool.told as f32);
+            }
+        }
+        demand
     }
 }
 
 impl QuotaAccount {
-    fn reshape(&mut self, share: f64, hosts: f64, now: Instant) {
-        self.bucket.fill(now);
-        let is_new = self.bucket.rate() == 0;
-        let spare = (SPARE_TOKENS / hosts).min(MAX_SPARE_TOKENS);
-        let micro = |tokens: f64| (tokens * MICRO_TOKENS as f64) as u64;
+    fn new(limit: CustomerLimit, now: Instant) -> Self {
+        Self {
+            limit,
+            meter: DemandMeter::new(now),
+            leased: 0,
+            lease_end: now,
+            reserve: TokenBucket::new(now),
+            pool: None,
+        }
+    }
+
+    fn rebalance(&mut self, view: &QuotaView<'_>, customer: &str, now: Instant) {
+        let part = RESERVE_PART / view.hosts.max(1) as f64;
+        self.reserve.fill(now);
+        self.reserve.reshape(micro(self.limit.rate * part), MICRO_TOKENS);
+        if !(view.keeps)(customer) {
+            self.pool = None;
+            return;
+        }
+        let others = (view.others)(customer);
+        let pool = self.pool.get_or_insert_with(|| TokenPool::new(now));
+        let share = share_of_limit(pool.told, &others);
+        let spare = SPARE_TOKENS / (others.len() as f64 + 1.0);
         let capacity = micro(self.limit.burst * share + spare).max(MICRO_TOKENS);
-        self.bucket.reshape(micro(self.limit.rate * share), capacity);
-        if is_new {
-            self.bucket.add(capacity);
+        pool.bucket.fill(now);
+        pool.bucket.reshape(micro(self.limit.rate * share), capacity);
+    }
+
+    fn lease(&mut self, tokens: u32, now: Instant) {
+        if now >= self.lease_end {
+            self.leased = 0;
+        }
+        if tokens > 0 {
+            self.leased = (self.leased + tokens).min(MAX_LEASED);
+            self.lease_end = now + LEASE_TIME;
+        }
+    }
+
+    fn take_leased(&mut self, now: Instant) -> bool {
+        let has_leased = self.leased > 0 && now < self.lease_end;
+        self.leased -= u32::from(has_leased);
+        has_leased
+    }
+
+    fn take_reserve(&mut self, now: Instant) -> QuotaDecision {
+        self.reserve.fill(now);
+        match self.reserve.take(MICRO_TOKENS) {
+            true => QuotaDecision::Admitted,
+            false => {
+                let wait = self.reserve.time_until(MICRO_TOKENS).unwrap_or(UNKNOWN_WAIT);
+                QuotaDecision::Refused { wait: wait.min(UNKNOWN_WAIT) }
+            }
         }
     }
 }
+
+impl TokenPool {
+    fn new(now: Instant) -> Self {
+        Self { bucket: TokenBucket::new(now), meter: DemandMeter::new(now), told: 0.0 }
+    }
+
+    /// Hands out as many tokens as there are, up to those wanted.
+    fn grant(&mut self, wanted: u32, now: Instant) -> TokenGrant {
+        self.meter.count(u64::from(wanted) * MICRO_TOKENS, now);
+        self.bucket.fill(now);
+        let there = u32::try_from(self.bucket.level() / MICRO_TOKENS).unwrap_or(u32::MAX);
+        let tokens = there.min(wanted);
+        self.bucket.take(u64::from(tokens) * MICRO_TOKENS);
+        let wait = self.bucket.time_until(MICRO_TOKENS).unwrap_or(UNKNOWN_WAIT);
+        let wait_ms = (tokens == 0).then_some(wait.as_millis() as u64);
+        TokenGrant { tokens, wait_ms }
+    }
+}
+
+fn micro(tokens: f64) -> u64 {
+    (tokens * MICRO_TOKENS as f64) as u64
+}
+
+fn wait(wait_ms: Option<u64>) -> Duration {
+    wait_ms.map_or(UNKNOWN_WAIT, Duration::from_millis)
+}
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -125,9 +125,8 @@
     pub fn spill_shares(&self) -> IndexMap<ServiceId, f64> {
         let rounded = |band: &SpillBand| (band.share() * 100.0).round() / 100.0;
         let known = self.services.iter();
-        let shares = known.filter_map(|(name, record)| {
-            Some((name.clone(), record.band.as_ref().map(rounded)?))
-        });
+        let shares = known
+            .filter_map(|(name, record)| Some((name.clone(), record.band.as_ref().map(rounded)?)));
         shares.collect()
     }
 
--- /dev/null
+++ b/crates/coordination/tests/quota.rs
@@ -0,0 +1,298 @@
+//! Customers' limits over a fleet whose hosts ask the keepers of tokens.
+
+#![allow(clippy::unwrap_used)]
+
+mod support {
+    pub mod heartbeats;
+}
+
+use std::time::Duration;
+use std::time::Instant;
+
+use coordination::fleet::CustomerLimit;
+use coordination::fleet::HostNews;
+use coordination::fleet::HostPhase;
+use coordination::fleet::QuotaDecision;
+use coordination::fleet::QuotaKeepers;
+use coordination::fleet::QuotaLedger;
+use coordination::fleet::QuotaView;
+use coordination::fleet::TokenGrant;
+use coordination::fleet::share_of_limit;
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use support::heartbeats::news;
+
+const REGIONS: usize = 3;
+const STEP: Duration = Duration::from_millis(50);
+const STEPS_PER_SECOND: usize = 20;
+/// Steps from one heartbeat between keepers to the next.
+const STEPS_PER_BEAT: usize = 10;
+const CUSTOMER: &str = "c";
+
+/// Hosts in three regions; the first of each keeps the customer's tokens. Keepers hear of each other's demand once in a
+/// heartbeat.
+struct QuotaFleet {
+    ledgers: Vec<Vec<QuotaLedger>>,
+    told: [f64; REGIONS],
+    /// Hosts without a keeper that answers, by region.
+    cut_off: [usize; REGIONS],
+}
+
+impl QuotaFleet {
+    fn new(hosts_per_region: usize, limit: CustomerLimit, now: Instant) -> Self {
+        let mut ledger = QuotaLedger::default();
+        ledger.set_limits([(CUSTOMER.into(), limit)].into_iter(), now);
+        let ledgers = vec![vec![ledger; hosts_per_region]; REGIONS];
+        let mut fleet = Self { ledgers, told: [0.0; REGIONS], cut_off: [0; REGIONS] };
+        fleet.beat(now);
+        fleet
+    }
+
+    fn beat(&mut self, now: Instant) {
+        let hosts = self.ledgers.iter().map(Vec::len).sum();
+        let told = self.told;
+        for (region, ledgers) in self.ledgers.iter_mut().enumerate() {
+            let others = |_: &str| {
+                let far = (0..REGIONS).filter(|other| *other != region);
+                far.map(|other| Some(told[other])).collect::<Vec<_>>()
+            };
+            for (host, ledger) in ledgers.iter_mut().enumerate() {
+                let keeps = |_: &str| host == 0;
+                ledger.rebalance(&QuotaView { hosts, keeps: &keeps, others: &others }, now);
+            }
+            let demand = ledgers[0].demand(now);
+            self.told[region] = f64::from(demand.get(CUSTOMER).copied().unwrap_or(0.0));
+        }
+    }
+
+    fn admits(&mut self, region: usize, host: usize, now: Instant) -> bool {
+        let is_cut_off = host + self.cut_off[region] >= self.ledgers[region].len();
+        let ledgers = &mut self.ledgers[region];
+        let decision = match ledgers[host].admit(CUSTOMER, now) {
+            QuotaDecision::Ask { tokens } => {
+                let grant = (!is_cut_off).then(|| ledgers[0].grant(CUSTOMER, tokens, now));
+                ledgers[host].receive(CUSTOMER, grant, now)
+            }
+            decision => decision,
+        };
+        decision == QuotaDecision::Admitted
+    }
+
+    /// Plays requests at a rate for each region after five calm seconds; returns how many came and the steps of those that were admitted.
+    fn play(
+        &mut self,
+        rates: [f64; REGIONS],
+        seconds: usize,
+        seed: u64,
+        start: Instant,
+    ) -> (usize, Vec<usize>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut admitted = Vec::new();
+        let mut asked = 0;
+        for step in 0..(seconds + 5) * STEPS_PER_SECOND {
+            let now = start + STEP * step as u32;
+            if step % STEPS_PER_BEAT == 0 {
+                self.beat(now);
+            }
+            if step < 5 * STEPS_PER_SECOND {
+                continue;
+            }
+            for (region, rate) in rates.into_iter().enumerate() {
+                let expected = rate / STEPS_PER_SECOND as f64;
+                let count = expected as usize + usize::from(rng.random::<f64>() < expected.fract());
+                for _ in 0..count {
+                    asked += 1;
+                    let host = rng.random_range(0..self.ledgers[region].len());
+                    if self.admits(region, host, now) {
+                        admitted.push(step);
+                    }
+                }
+            }
+        }
+        (asked, admitted)
+    }
+}
+
+/// Most requests that were admitted in any five seconds.
+fn worst_window(admitted: &[usize]) -> usize {
+    let last = admitted.last().copied().unwrap_or(0);
+    let window = 5 * STEPS_PER_SECOND;
+    let count =
+        |from: usize| admitted.iter().filter(|at| (from..from + window).contains(*at)).count();
+    (0..=last).map(count).max().unwrap_or(0)
+}
+
+/// What the platform tolerates in five seconds.
+fn tolerated(limit: CustomerLimit) -> f64 {
+    (limit.rate * 5.0 + limit.burst) * 1.1 + 20.0
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn shares_of_regions_that_see_the_same_add_up_to_one(demands in prop::collection::vec(0.0..500.0_f64, 2..6)) {
+        let share = |own: usize| {
+            let others: Vec<_> = demands.iter().enumerate().filter(|(at, _)| *at != own).map(|(_, demand)| Some(*demand)).collect();
+            share_of_limit(demands[own], &others)
+        };
+        let total: f64 = (0..demands.len()).map(share).sum();
+        prop_assert!((total - 1.0).abs() < 1e-9, "total {total}");
+    }
+
+    /// A customer at seven and a half times its limit, spread unevenly over regions.
+    #[test]
+    fn a_flood_stays_within_the_tolerated_limit(
+        rate in 2.0..300.0_f64, hosts in 3_usize..28, weights in prop::array::uniform3(0.05..1.0_f64), seed: u64,
+    ) {
+        let start = Instant::now();
+        let limit = CustomerLimit { rate, burst: rate };
+        let total: f64 = weights.iter().sum();
+        let rates = weights.map(|weight| rate * 7.5 * weight / total);
+        let (_, admitted) = QuotaFleet::new(hosts, limit, start).play(rates, 10, seed, start);
+        let window = worst_window(&admitted);
+        prop_assert!(window as f64 <= tolerated(limit), "{window} of {}", tolerated(limit));
+    }
+
+    /// The same with a third of each region's hosts cut off from the keepers.
+    #[test]
+    fn a_flood_over_cut_off_hosts_stays_within_the_tolerated_limit(
+        rate in 2.0..300.0_f64, seed: u64,
+    ) {
+        let start = Instant::now();
+        let limit = CustomerLimit { rate, burst: rate };
+        let mut fleet = QuotaFleet::new(24, limit, start);
+        fleet.cut_off[0] = 12;
+        let (_, admitted) = fleet.play([rate * 2.5; REGIONS], 10, seed, start);
+        let window = worst_window(&admitted);
+        prop_assert!(window as f64 <= tolerated(limit), "{window} of {}", tolerated(limit));
+    }
+}
+
+macro_rules! calm_days {
+    ($($name:ident: $rate:literal a second of a limit of $limit:literal over $hosts:literal hosts a region;)*) => {
+        $(
+            /// A customer that asks for five eighths of its limit, as the platform's customers usually do, is not refused:
+            /// what lies below the limit is owed to it.
+            #[test]
+            fn $name() {
+                let start = Instant::now();
+                let limit = CustomerLimit { rate: $limit, burst: $limit };
+                let rates = [$rate * 0.5, $rate * 0.3, $rate * 0.2];
+                let mut fleet = QuotaFleet::new($hosts, limit, start);
+                let (asked, admitted) = fleet.play(rates, 20, 7, start);
+                let refused = asked - admitted.len();
+                assert!(refused * 100 <= asked, "{refused} of {asked}");
+            }
+        )*
+    };
+}
+
+calm_days! {
+    a_small_customer_of_a_large_fleet_is_served: 5.0 a second of a limit of 8.0 over 28 hosts a region;
+    a_usual_customer_of_a_large_fleet_is_served: 22.0 a second of a limit of 35.0 over 28 hosts a region;
+    a_large_customer_of_a_large_fleet_is_served: 400.0 a second of a limit of 640.0 over 28 hosts a region;
+    a_usual_customer_of_a_small_fleet_is_served: 54.0 a second of a limit of 86.0 over 3 hosts a region;
+}
+
+macro_rules! ledger_cases {
+    ($($name:ident: $check:expr;)*) => {
+        $(#[test] fn $name() { $check(Instant::now()); })*
+    };
+}
+
+fn kept(limit: CustomerLimit, now: Instant) -> QuotaLedger {
+    let mut ledger = QuotaLedger::default();
+    ledger.set_limits([(CUSTOMER.into(), limit)].into_iter(), now);
+    let (keeps, others) = (|_: &str| true, |_: &str| Vec::new());
+    ledger.rebalance(&QuotaView { hosts: 1, keeps: &keeps, others: &others }, now);
+    ledger
+}
+
+fn host(name: &str, region: &str, capacity: f64) -> HostNews {
+    HostNews { region: region.into(), capacity, ..news(name, 1, 1) }
+}
+
+ledger_cases! {
+    a_customer_without_a_limit_is_never_refused: |now| {
+        let mut ledger = kept(CustomerLimit::default(), now);
+        assert!((0..1_000).all(|_| ledger.admit(CUSTOMER, now) == QuotaDecision::Admitted));
+    };
+    an_unlisted_customer_has_no_demand: |now| {
+        let mut ledger = QuotaLedger::default();
+        assert_eq!(ledger.admit("stranger", now), QuotaDecision::Admitted);
+        assert!(ledger.demand(now).is_empty());
+    };
+    a_lowered_limit_keeps_the_demand_known: |now| {
+        let mut ledger = kept(CustomerLimit { rate: 100.0, burst: 100.0 }, now);
+        for _ in 0..50 {
+            ledger.admit(CUSTOMER, now);
+        }
+        let lower = CustomerLimit { rate: 10.0, burst: 10.0 };
+        ledger.set_limits([(CUSTOMER.into(), lower)].into_iter(), now);
+        assert!(ledger.demand(now)[CUSTOMER] > 0.0);
+    };
+    a_host_that_keeps_no_tokens_hands_none_out: |now| {
+        let mut ledger = QuotaLedger::default();
+        let limit = CustomerLimit { rate: 100.0, burst: 100.0 };
+        ledger.set_limits([(CUSTOMER.into(), limit)].into_iter(), now);
+        assert_eq!(ledger.grant(CUSTOMER, 1, now), TokenGrant { tokens: 0, wait_ms: None });
+    };
+    a_refunded_token_is_spent_again: |now| {
+        let mut ledger = QuotaLedger::default();
+        let limit = CustomerLimit { rate: 1.0, burst: 1.0 };
+        ledger.set_limits([(CUSTOMER.into(), limit)].into_iter(), now);
+        assert_eq!(ledger.admit(CUSTOMER, now), QuotaDecision::Ask { tokens: 1 });
+        ledger.refund(CUSTOMER, now);
+        assert_eq!(ledger.admit(CUSTOMER, now), QuotaDecision::Admitted);
+    };
+    tokens_not_spent_in_time_are_lost: |now| {
+        let mut ledger = QuotaLedger::default();
+        let limit = CustomerLimit { rate: 1.0, burst: 1.0 };
+        ledger.set_limits([(CUSTOMER.into(), limit)].into_iter(), now);
+        ledger.refund(CUSTOMER, now);
+        let later = now + Duration::from_secs(2);
+        assert_eq!(ledger.admit(CUSTOMER, later), QuotaDecision::Ask { tokens: 1 });
+    };
+    hosts_of_a_region_agree_on_the_keeper: |_| {
+        let hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1), host("x", "r2", 0.1)];
+        let near = "r1".into();
+        let forth = QuotaKeepers::of(&near, hosts.iter().map(|news| (news, true)));
+        let back = QuotaKeepers::of(&near, hosts.iter().rev().map(|news| (news, true)));
+        for customer in ["c", "d", "e", "f"] {
+            let keeper = forth.keeper_of(customer).unwrap();
+            assert_eq!(Some(keeper), back.keeper_of(customer));
+            assert_ne!(&*keeper.host, "x");
+        }
+    };
+    the_largest_hosts_keep_tokens: |_| {
+        let small = (0..20).map(|number| host(&format!("s{number}"), "r1", 0.1));
+        let large = (0..8).map(|number| host(&format!("l{number}"), "r1", 0.5));
+        let hosts: Vec<_> = small.chain(large).collect();
+        let keepers = QuotaKeepers::of(&"r1".into(), hosts.iter().map(|news| (news, true)));
+        assert!((0..50).all(|number| keepers.keeper_of(&format!("c{number}")).unwrap().host.starts_with('l')));
+    };
+    a_silent_keeper_is_replaced: |_| {
+        let hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1), host("c", "r1", 0.1)];
+        for silent in ["a", "b", "c"] {
+            let heard = hosts.iter().map(|news| (news, &*news.host != silent));
+            let keepers = QuotaKeepers::of(&"r1".into(), heard);
+            assert_ne!(&*keepers.keeper_of(CUSTOMER).unwrap().host, silent);
+        }
+    };
+    a_host_that_is_cut_off_keeps_nothing: |_| {
+        let hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1), host("c", "r2", 0.1)];
+        let heard = hosts.iter().map(|news| (news, &*news.host == "a"));
+        assert_eq!(QuotaKeepers::of(&"r1".into(), heard).keeper_of(CUSTOMER), None);
+    };
+    a_host_that_starts_or_leaves_keeps_nothing: |_| {
+        let mut hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1)];
+        hosts[0].phase = HostPhase::Starting;
+        hosts[1].phase = HostPhase::Leaving;
+        let keepers = QuotaKeepers::of(&"r1".into(), hosts.iter().map(|news| (news, true)));
+        assert_eq!(keepers.keeper_of(CUSTOMER), None);
+    };
+}
--- a/crates/coordination/tests/support/fleet_parts.rs
+++ b/crates/coordination/tests/support/fleet_parts.rs
@@ -4,8 +4,6 @@
 use std::time::Instant;
 
 use coordination::fleet::BoardHost;
-use coordination::fleet::HostNews;
-use coordination::fleet::HostPhase;
 use coordination::fleet::PlacementAsk;
 use coordination::fleet::PlacementChoice;
 use coordination::fleet::PlacementRefusal;
@@ -14,7 +12,6 @@
 use coordination::fleet::TargetState;
 use coordination::ids::RegionId;
 use coordination::ids::TargetId;
-use indexmap::IndexMap;
 
 /// Latency objective of the test route.
 pub const OBJECTIVE: Duration = Duration::from_millis(250);
@@ -22,25 +19,6 @@
 /// Part of the callers that one of three regions expects.
 const CALLERS_PART: f64 = 1.0 / 3.0;
 
-/// A heartbeat of a host.
-pub fn news(host: &str, incarnation: u64, beat: u64) -> HostNews {
-    HostNews {
-        host: host.into(),
-        incarnation,
-        beat,
-        phase: HostPhase::Serving,
-        failure_domain: "d1".into(),
-        region: "r1".into(),
-        callers: ([127, 0, 0, 1], 1).into(),
-        mesh: ([127, 0, 0, 1], 2).into(),
-        capacity: 0.2,
-        applied: [0; 3],
-        reaches_store: true,
-        demand: IndexMap::new(),
-        spill: IndexMap::new(),
-    }
-}
-
 /// An entry of a ready target with six slots.
 pub fn entry(target: &str, domain: &str, region: &str) -> TargetEntry {
     TargetEntry {
--- /dev/null
+++ b/crates/coordination/tests/support/heartbeats.rs
@@ -0,0 +1,25 @@
+//! Heartbeats for tests of entry hosts' decisions.
+
+use coordination::fleet::HostNews;
+use coordination::fleet::HostPhase;
+use indexmap::IndexMap;
+
+/// A heartbeat of a host.
+pub fn news(host: &str, incarnation: u64, beat: u64) -> HostNews {
+    HostNews {
+        host: host.into(),
+        incarnation,
+        beat,
+        phase: HostPhase::Serving,
+        failure_domain: "d1".into(),
+        region: "r1".into(),
+        callers: ([127, 0, 0, 1], 1).into(),
+        mesh: ([127, 0, 0, 1], 2).into(),
+        capacity: 0.2,
+        applied: [0; 3],
+        reaches_store: true,
+        fleet: 1,
+        demand: IndexMap::new(),
+        spill: IndexMap::new(),
+    }
+}
