Starts: no empty state passed on, phases in signs of life, first tokens of a keeper; no work in the second half of a shutdown

Change: a host waits for its own first read before it passes a part on; signs of life tell the phase; a keeper is asked twice, for 100 and 200 ms; a new keeper has half a second of tokens; requests are taken for 0.45 of the time for a shutdown (was 0.55). Tests that failed first: a_host_that_has_read_nothing_passes_nothing_on, a_host_takes_no_work_in_the_second_half_of_its_shutdown.

--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -48,9 +48,9 @@
 use crate::settings::CallerBounds;
 use crate::settings::EntrySettings;
 
-/// Part of the time for a shutdown in which new connections are still taken: callers hear of the end from look-ups, whose
-/// answers hold for two seconds.
-const OPEN_PART: f64 = 0.55;
+/// Part of the time for a shutdown in which requests are still taken. Callers hear of the end from look-ups, whose answers hold
+/// for two seconds of usually six; the longest work takes more than half of the time.
+const OPEN_PART: f64 = 0.45;
 /// Time before the end by force at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// Time that a caller's connection may stay idle: longer than any configuration lets callers keep one.
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -209,6 +209,14 @@
         StateBatch { revision, latest: core.applied(part), changes }
     }
 
+    /// Waits until a part was read whole, at most for `wait`; returns whether it was. Before, an empty part says nothing.
+    pub async fn wait_for_part(&self, part: StatePart, wait: Duration) -> bool {
+        let mut changed = self.changed.subscribe();
+        let is_read = || self.lock().histories[part as usize].revision() > 0;
+        let read = async { while !is_read() && changed.changed().await.is_ok() {} };
+        tokio::time::timeout(wait, read).await.is_ok()
+    }
+
     /// Changes of a part after a revision, as soon as there are some, at the latest after `wait`; `None` if they are no
     /// longer known.
     pub async fn wait_for_changes(
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -149,8 +149,8 @@
             for news in message.others.into_iter().filter(|news| news.host != *own) {
                 core.roster.hear(news, false, now);
             }
-            for (digest, beat) in message.seen {
-                core.roster.hear_digest(digest, beat, now);
+            for sign in message.seen {
+                core.roster.hear_sign(sign, now);
             }
             !is_known
         };
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use coordination::fleet::HostNews;
-use coordination::fleet::StartDigest;
+use coordination::fleet::LifeSign;
 use coordination::fleet::TokenGrant;
 use coordination::ids::CustomerId;
 use serde::Deserialize;
@@ -43,8 +43,8 @@
     pub own: HostNews,
     /// News of others that the sender heard.
     pub others: Vec<HostNews>,
-    /// Other process starts that the sender heard of, each with its latest heartbeat.
-    pub seen: Vec<(StartDigest, u64)>,
+    /// Other process starts that the sender heard of lately.
+    pub seen: Vec<LifeSign>,
     /// Whether the sender asks for an answer, as it knows few hosts yet.
     pub asks: bool,
 }
--- a/crates/buckthornturn/src/entry/peer_reader.rs
+++ b/crates/buckthornturn/src/entry/peer_reader.rs
@@ -24,6 +24,8 @@
 const STATUS_PATH: &str = "/status";
 /// Longest wait for an answer from another host: a few round trips between regions and a megabyte.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a part that this host has not read yet itself, as after a start; within `READ_TIMEOUT`.
+const FIRST_READ_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest wait of a watch that another host is asked for.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -105,7 +107,10 @@
     let part = path.strip_prefix(STATE_PATH);
     let part = part.and_then(|name| StatePart::ALL.into_iter().find(|part| part.name() == name));
     match (part, number(query, "after")) {
-        (Some(part), None) => encoded(&state.snapshot(part)),
+        (Some(part), None) => match state.wait_for_part(part, FIRST_READ_WAIT).await {
+            true => encoded(&state.snapshot(part)),
+            false => with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        },
         (Some(part), Some(after)) => {
             let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
             match state.wait_for_changes(part, after, wait).await {
--- a/crates/buckthornturn/src/entry/token_desk.rs
+++ b/crates/buckthornturn/src/entry/token_desk.rs
@@ -16,9 +16,9 @@
 
 use crate::entry::mesh_datagram::MeshDatagram;
 
-/// Longest wait for a keeper: the round trip within a region takes 2 ms, and a host whose processor share is used up stands
-/// still for the rest of a tenth of a second.
-const ASK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Waits for a keeper, one after each time that it is asked: the round trip within a region takes 2 ms, a host whose processor
+/// share is used up stands still for the rest of a tenth of a second, and a datagram may be lost.
+const ASK_WAITS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(200)];
 /// Most questions that wait for an answer; bounds memory while no keeper answers.
 const MAX_PENDING: usize = 1_024;
 
@@ -41,7 +41,7 @@
         Self { socket, pending: Mutex::default(), next: AtomicU64::default() }
     }
 
-    /// Asks a keeper; `None` if no answer comes in time.
+    /// Asks a keeper, a second time if it stays silent; `None` if no answer comes in time.
     pub async fn ask(
         &self,
         keeper: SocketAddr,
@@ -49,7 +49,7 @@
         tokens: u32,
     ) -> Option<TokenGrant> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         {
             let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
             if pending.len() >= MAX_PENDING {
@@ -59,8 +59,13 @@
         }
         let _waiting = PendingAsk { desk: self, number };
         let ask = MeshDatagram::TokenAsk { number, customer: customer.clone(), tokens };
-        ask.send(&self.socket, keeper).await;
-        tokio::time::timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
+        for wait in ASK_WAITS {
+            ask.send(&self.socket, keeper).await;
+            if let Ok(answer) = tokio::time::timeout(wait, &mut receiver).await {
+                return answer.ok();
+            }
+        }
+        None
     }
 
     /// Takes an answer; one that nobody waits for any more is dropped.
--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -66,9 +66,18 @@
 
     /// Starts one more host whose store has an address.
     pub async fn start_host(&mut self, number: usize, store: SocketAddr) {
-        let ports = free_ports();
         let seeds: Vec<_> = self.ports.iter().map(|ports| ports.mesh).collect();
-        let settings = settings(number, &ports, store, &seeds);
+        self.start_host_beside(number, store, &seeds).await;
+    }
+
+    /// Starts one more host that is told of no other.
+    pub async fn start_host_without_peers(&mut self, number: usize, store: SocketAddr) {
+        self.start_host_beside(number, store, &[]).await;
+    }
+
+    async fn start_host_beside(&mut self, number: usize, store: SocketAddr, seeds: &[SocketAddr]) {
+        let ports = free_ports();
+        let settings = settings(number, &ports, store, seeds);
         let source = StoreSource::new(store, settings.domains.clone(), Arc::new(GuardedDialer));
         let parts = EntryParts { source: Arc::new(source), dialect: Arc::new(WireDialect) };
         self.hosts.push(EntryProcess::start(settings, parts).await.unwrap());
@@ -92,7 +101,12 @@
 
     /// Sends a request of a caller to a host.
     pub async fn ask(&self, host: usize, call: CallerCall) -> Response<Bytes> {
-        send(self.ports[host].callers, call.request()).await.expect("an answer")
+        self.try_ask(host, call).await.expect("an answer")
+    }
+
+    /// The same; `None` if the host does not answer.
+    pub async fn try_ask(&self, host: usize, call: CallerCall) -> Option<Response<Bytes>> {
+        send(self.ports[host].callers, call.request()).await
     }
 
     /// Number of requests that all targets ran.
--- a/crates/buckthornturn/tests/platform/state.rs
+++ b/crates/buckthornturn/tests/platform/state.rs
@@ -236,3 +236,26 @@
     assert!(f64::from(served.iter().sum::<u32>()) <= tolerated, "{served:?} in {seconds} s");
     assert!(served.iter().all(|served| *served > 0), "{served:?}");
 }
+
+#[tokio::test]
+async fn a_host_that_has_read_nothing_passes_nothing_on() {
+    let mut fleet = EntryFleet::start(1, 1).await;
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    fleet.start_host_without_peers(1, nowhere).await;
+    assert_eq!(get(fleet.ports[0].mesh, "/state/targets").await.status(), 200);
+    assert_eq!(get(fleet.ports[1].mesh, "/state/targets").await.status(), 503);
+}
+
+/// Work that is taken in the second half of the time for a shutdown may outlast it.
+#[tokio::test]
+async fn a_host_takes_no_work_in_the_second_half_of_its_shutdown() {
+    let mut fleet = EntryFleet::start(1, 1).await;
+    let host = fleet.hosts.remove(0);
+    let half = host.state().bounds().shutdown() / 2;
+    let started_at = Instant::now();
+    let ended = tokio::spawn(host.shutdown());
+    assert_eq!(fleet.ask(0, CallerCall::page()).await.status(), 200);
+    tokio::time::sleep_until((started_at + half).into()).await;
+    assert!(fleet.try_ask(0, CallerCall::page()).await.is_none());
+    assert!(ended.await.unwrap());
+}
--- a/crates/coordination/src/fleet/host_roster.rs
+++ b/crates/coordination/src/fleet/host_roster.rs
@@ -6,6 +6,8 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::fleet::HostNews;
 use crate::fleet::HostPhase;
@@ -30,6 +32,18 @@
 /// Short name of a process start, by which hosts tell each other that it lives.
 pub type StartDigest = u32;
 
+/// What hosts tell each other of one that lives, in few bytes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "(StartDigest, u64, HostPhase)", into = "(StartDigest, u64, HostPhase)")]
+pub struct LifeSign {
+    /// Process start.
+    pub start: StartDigest,
+    /// Number of its latest heartbeat that was heard.
+    pub beat: u64,
+    /// Whether it takes new callers.
+    pub phase: HostPhase,
+}
+
 /// Hosts by name, each with its latest heartbeat.
 #[derive(Clone, Debug, Default)]
 pub struct HostRoster {
@@ -81,11 +95,12 @@
         }
     }
 
-    /// Takes note that a process start was heard by another host, up to a heartbeat.
-    pub fn hear_digest(&mut self, digest: StartDigest, beat: u64, now: Instant) {
-        let known = self.digests.get(&digest).and_then(|host| self.entries.get_mut(host));
-        if let Some(known) = known {
-            known.seen(beat, now);
+    /// Takes note that a process start was heard by another host.
+    pub fn hear_sign(&mut self, sign: LifeSign, now: Instant) {
+        let known = self.digests.get(&sign.start).and_then(|host| self.entries.get_mut(host));
+        let Some(known) = known else { return };
+        if known.seen(sign.beat, now) {
+            known.set_phase(sign.phase, now);
         }
     }
 
@@ -160,29 +175,55 @@
 
     /// Process starts at random that were heard lately, each with its latest heartbeat. They say in few bytes
     /// who lives: in a large fleet a host hears most others through these only.
-    pub fn seen<R: Rng>(&self, now: Instant, rng: &mut R) -> Vec<(StartDigest, u64)> {
+    pub fn seen<R: Rng>(&self, now: Instant, rng: &mut R) -> Vec<LifeSign> {
         let live =
             |entry: &&RosterEntry| now.saturating_duration_since(entry.heard_at) <= LISTED_FOR;
         let live: Vec<&RosterEntry> = self.entries.values().filter(live).collect();
         let count = (live.len() / SEEN_DIVISOR).clamp(SEEN_BOUNDS.0, SEEN_BOUNDS.1);
-        live.sample(rng, count).map(|entry| (entry.digest, entry.seen_beat)).collect()
+        live.sample(rng, count).map(|entry| entry.sign()).collect()
+    }
+}
+
+impl From<(StartDigest, u64, HostPhase)> for LifeSign {
+    fn from((start, beat, phase): (StartDigest, u64, HostPhase)) -> Self {
+        Self { start, beat, phase }
+    }
+}
+
+impl From<LifeSign> for (StartDigest, u64, HostPhase) {
+    fn from(sign: LifeSign) -> Self {
+        (sign.start, sign.beat, sign.phase)
     }
 }
 
 impl RosterEntry {
-    fn seen(&mut self, beat: u64, now: Instant) {
-        if beat > self.seen_beat {
+    /// Takes note of a heartbeat; returns whether it is later than those heard of before.
+    fn seen(&mut self, beat: u64, now: Instant) -> bool {
+        let is_later = beat > self.seen_beat;
+        if is_later {
             self.seen_beat = beat;
             self.heard_at = now;
         }
+        is_later
     }
 
-    /// Takes later news. Those of another host do not tell of demand.
-    fn replace(&mut self, news: HostNews, is_direct: bool, now: Instant) {
-        if news.phase != self.news.phase {
+    fn sign(&self) -> LifeSign {
+        LifeSign { start: self.digest, beat: self.seen_beat, phase: self.news.phase }
+    }
+
+    fn set_phase(&mut self, phase: HostPhase, now: Instant) {
+        if phase != self.news.phase {
+            self.news.phase = phase;
             self.changed_at = now;
         }
-        let known = std::mem::replace(&mut self.news, news);
+    }
+
+    /// Takes later news. Those of another host do not tell of demand.
+    fn replace(&mut self, news: HostNews, is_direct: bool, now: Instant) {
+        // A sign may have told of a later phase than these news.
+        let phase = if news.beat >= self.seen_beat { news.phase } else { self.news.phase };
+        self.set_phase(phase, now);
+        let known = std::mem::replace(&mut self.news, HostNews { phase, ..news });
         if !is_direct {
             self.news.demand = known.demand;
         }
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -25,7 +25,7 @@
 pub use host_news::HostPhase;
 pub use host_roster::HostRoster;
 pub use host_roster::LISTED_FOR;
-pub use host_roster::StartDigest;
+pub use host_roster::LifeSign;
 pub use placement_ask::PlacementAsk;
 pub use placement_ask::PlacementChoice;
 pub use placement_ask::PlacementRefusal;
--- a/crates/coordination/src/fleet/quota_ledger.rs
+++ b/crates/coordination/src/fleet/quota_ledger.rs
@@ -21,6 +21,9 @@
 /// Part of the limit that hosts share evenly for when no keeper answers. A failure domain that is cut off has a ninth to a
 /// sixth of the hosts, so that it admits no more than the tenth that the platform tolerates (`quota_overage`).
 const RESERVE_PART: f64 = 0.6;
+/// Time for which a host that becomes a keeper has tokens at once. None were handed out for at least as long while the earlier
+/// keeper was away; where it was not, they are a tenth of the window in which the platform counts.
+const FIRST_TOKENS: Duration = Duration::from_millis(500);
 /// Time for which tokens that were handed out may be spent.
 const LEASE_TIME: Duration = Duration::from_secs(1);
 /// Demand for which tokens are asked at once, in seconds.
@@ -216,12 +219,16 @@
             return;
         }
         let others = (view.others)(customer);
+        let is_new = self.pool.is_none();
         let pool = self.pool.get_or_insert_with(|| TokenPool::new(now));
         let share = share_of_limit(pool.told, &others);
         let spare = SPARE_TOKENS / (others.len() as f64 + 1.0);
         let capacity = micro(self.limit.burst * share + spare).max(MICRO_TOKENS);
         pool.bucket.fill(now);
         pool.bucket.reshape(micro(self.limit.rate * share), capacity);
+        if is_new {
+            pool.bucket.add(micro(self.limit.rate * share * FIRST_TOKENS.as_secs_f64()));
+        }
     }
 
     fn lease(&mut self, tokens: u32, now: Instant) {
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -94,15 +94,15 @@
         roster.hear(news("a", 1, 3), true, now);
         assert!(roster.counted().next().unwrap().demand.is_empty());
     };
-    a_digest_keeps_a_host_listed: |now| {
+    a_sign_of_life_keeps_a_host_listed: |now| {
         let mut near = HostRoster::default();
         let mut far = HostRoster::default();
         near.hear(news("a", 1, 1), true, now);
         far.hear(news("a", 1, 1), true, now);
         let later = now + LISTED_FOR;
         near.hear(news("a", 1, 6), true, later);
-        for (digest, beat) in near.seen(later, &mut ChaCha8Rng::seed_from_u64(1)) {
-            far.hear_digest(digest, beat, later);
+        for sign in near.seen(later, &mut ChaCha8Rng::seed_from_u64(1)) {
+            far.hear_sign(sign, later);
         }
         let end = later + LISTED_FOR;
         assert_eq!(far.live(end).count(), 1);
@@ -111,14 +111,28 @@
         told.phase = HostPhase::Leaving;
         assert!(far.hear(told, true, end));
     };
-    a_digest_of_an_earlier_start_keeps_nothing_listed: |now| {
+    a_sign_tells_of_a_change_of_phase: |now| {
+        let mut near = HostRoster::default();
+        let mut far = HostRoster::default();
+        far.hear(news("a", 1, 1), true, now);
+        let mut leaving = news("a", 1, 5);
+        leaving.phase = HostPhase::Leaving;
+        near.hear(leaving, true, now);
+        for sign in near.seen(now, &mut ChaCha8Rng::seed_from_u64(1)) {
+            far.hear_sign(sign, now);
+        }
+        // Earlier news that come later do not take it back.
+        far.hear(news("a", 1, 3), false, now);
+        assert_eq!(far.counted().next().unwrap().phase, HostPhase::Leaving);
+    };
+    a_sign_of_an_earlier_start_keeps_nothing_listed: |now| {
         let mut near = HostRoster::default();
         let mut far = HostRoster::default();
         near.hear(news("a", 1, 9), true, now);
         far.hear(news("a", 2, 1), true, now);
         let later = now + LISTED_FOR;
-        for (digest, beat) in near.seen(later, &mut ChaCha8Rng::seed_from_u64(1)) {
-            far.hear_digest(digest, beat, later);
+        for sign in near.seen(later, &mut ChaCha8Rng::seed_from_u64(1)) {
+            far.hear_sign(sign, later);
         }
         assert_eq!(far.live(later + Duration::from_secs(1)).count(), 0);
     };
@@ -189,7 +203,7 @@
                 for news in &others {
                     receiver.hear(news.clone(), false, now);
                 }
-                seen.iter().for_each(|(digest, beat)| receiver.hear_digest(*digest, *beat, now));
+                seen.iter().for_each(|sign| receiver.hear_sign(*sign, now));
             }
         }
         all += FLEET * (FLEET - 1);
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -249,6 +249,11 @@
         ledger.refund(CUSTOMER, now);
         assert_eq!(ledger.admit(CUSTOMER, now), QuotaDecision::Admitted);
     };
+    a_host_that_becomes_a_keeper_has_tokens_at_once: |now| {
+        let mut ledger = kept(CustomerLimit { rate: 100.0, burst: 100.0 }, now);
+        assert_eq!(ledger.grant(CUSTOMER, 10, now).tokens, 10);
+        assert!(ledger.grant(CUSTOMER, 32, now).tokens + ledger.grant(CUSTOMER, 32, now).tokens <= 40);
+    };
     tokens_not_spent_in_time_are_lost: |now| {
         let mut ledger = QuotaLedger::default();
         let limit = CustomerLimit { rate: 1.0, burst: 1.0 };
