explain: the story of one request from the logs of hosts

Reads logs of one host or, as collectors write them, of many; tells where the request came in, what its host believed of the configuration, the store and the target named, what was tried and why it ended so.

--- a/crates/buckthornturn/src/error.rs
+++ b/crates/buckthornturn/src/error.rs
@@ -37,6 +37,12 @@
         /// A line for each problem.
         problems: Vec<Box<str>>,
     },
+    /// No log tells of a request.
+    #[snafu(display("{reason}"))]
+    UnknownRequest {
+        /// What was read.
+        reason: Box<str>,
+    },
     /// The host could not start.
     #[snafu(display("{source}"))]
     Host {
@@ -70,9 +76,11 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Usage { .. } | Self::InvalidFile { .. } | Self::ReadFile { .. } => EXIT_USAGE,
-            Self::Host { .. } | Self::Runtime { .. } | Self::Refused { .. } | Self::Log { .. } => {
-                EXIT_FAILED
-            }
+            Self::UnknownRequest { .. }
+            | Self::Host { .. }
+            | Self::Runtime { .. }
+            | Self::Refused { .. }
+            | Self::Log { .. } => EXIT_FAILED,
         }
     }
 }
--- a/crates/buckthornturn/src/lib.rs
+++ b/crates/buckthornturn/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod entry;
 pub mod error;
+pub mod explain;
 mod host_parts;
 pub mod host_process;
 pub mod interface;
--- a/crates/buckthornturn/src/subcommand/command_help.rs
+++ b/crates/buckthornturn/src/subcommand/command_help.rs
@@ -15,6 +15,7 @@
   buckthornturn key grant CUSTOMER --host ADDR
   buckthornturn key withdraw KEY-ID --host ADDR
   buckthornturn log-level LEVEL --host ADDR
+  buckthornturn explain REQUEST-ID FILE...
   buckthornturn --version
   buckthornturn [SUBCOMMAND] --help
 
@@ -37,6 +38,7 @@
         "undrain" => UNDRAIN,
         "key" => KEY,
         "log-level" => LOG_LEVEL,
+        "explain" => EXPLAIN,
         _ => return None,
     })
 }
@@ -113,3 +115,11 @@
 Usage:
   buckthornturn log-level (error|warn|info|debug|trace) --host ADDR [--ca FILE] [--json]
 ";
+
+const EXPLAIN: &str = "\
+Tells the story of one request from logs of hosts on a platform: where it came in, what was known, what was tried,
+and why it ended so. Files may hold the lines of one host or, as collectors write them, of many.
+
+Usage:
+  buckthornturn explain REQUEST-ID FILE...
+";
--- /dev/null
+++ b/crates/buckthornturn/src/subcommand/explain_command.rs
@@ -0,0 +1,52 @@
+//! `explain`: tells the story of one request from the logs of hosts.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+use snafu::ResultExt;
+
+use crate::error::Error;
+use crate::error::ReadFileSnafu;
+use crate::error::UnknownRequestSnafu;
+use crate::error::UsageSnafu;
+use crate::explain::StoryReader;
+use crate::subcommand::free;
+use crate::subcommand::usage;
+
+/// `explain`.
+pub struct ExplainCommand {
+    request: Box<str>,
+    files: Vec<PathBuf>,
+}
+
+impl ExplainCommand {
+    /// Reads the arguments.
+    pub(super) fn parse(arguments: &mut Arguments) -> Result<Self, Error> {
+        let request = free(arguments, "REQUEST-ID")?;
+        let mut files = Vec::new();
+        while let Some(file) = arguments.opt_free_from_str::<String>().map_err(usage)? {
+            files.push(PathBuf::from(file));
+        }
+        match files.is_empty() {
+            true => UsageSnafu { reason: "FILE is missing" }.fail(),
+            false => Ok(Self { request, files }),
+        }
+    }
+
+    /// Prints the story.
+    pub(super) fn run(self) -> Result<(), Error> {
+        let mut reader = StoryReader::new(&self.request);
+        for path in &self.files {
+            let file = File::open(path).context(ReadFileSnafu { path })?;
+            reader.read(path, &mut BufReader::new(file)).context(ReadFileSnafu { path })?;
+        }
+        let story = reader.story();
+        if !story.is_found() {
+            return UnknownRequestSnafu { reason: story.to_string() }.fail();
+        }
+        println!("{story}");
+        Ok(())
+    }
+}
--- a/crates/buckthornturn/src/subcommand/mod.rs
+++ b/crates/buckthornturn/src/subcommand/mod.rs
@@ -4,6 +4,7 @@
 mod check_command;
 mod command_help;
 mod drain_command;
+mod explain_command;
 mod get_command;
 mod host_command;
 mod key_command;
@@ -21,6 +22,7 @@
 use crate::subcommand::command_help::HELP;
 use crate::subcommand::command_help::help_of;
 use crate::subcommand::drain_command::DrainCommand;
+use crate::subcommand::explain_command::ExplainCommand;
 use crate::subcommand::get_command::GetCommand;
 use crate::subcommand::host_command::HostCommand;
 use crate::subcommand::key_command::KeyCommand;
@@ -49,6 +51,8 @@
     Key(KeyCommand),
     /// Changes the level of a host's log.
     LogLevel(LogLevelCommand),
+    /// Tells the story of a request.
+    Explain(ExplainCommand),
 }
 
 impl Subcommand {
@@ -77,6 +81,7 @@
             Some("undrain") => Self::Drain(DrainCommand::parse_undrain(&mut arguments)?),
             Some("key") => Self::Key(KeyCommand::parse(&mut arguments)?),
             Some("log-level") => Self::LogLevel(LogLevelCommand::parse(&mut arguments)?),
+            Some("explain") => Self::Explain(ExplainCommand::parse(&mut arguments)?),
             Some(name) => return unknown(name),
         };
         match arguments.finish().first() {
@@ -105,6 +110,7 @@
             Self::Drain(command) => command.run()?,
             Self::Key(command) => command.run()?,
             Self::LogLevel(command) => command.run()?,
+            Self::Explain(command) => command.run()?,
         }
         Ok(())
     }
--- a/crates/buckthornturn/tests/contract/command_line.rs
+++ b/crates/buckthornturn/tests/contract/command_line.rs
@@ -43,6 +43,9 @@
     help_of_undrain: ["undrain", "--help"] => 0, "Ends a drain";
     help_of_key: ["key", "--help"] => 0, "key withdraw KEY-ID";
     help_of_log_level: ["log-level", "--help"] => 0, "error|warn|info|debug|trace";
+    help_of_explain: ["explain", "--help"] => 0, "explain REQUEST-ID FILE";
+    explain_without_file: ["explain", "9c41d07be2a35f68"] => 2, "FILE is missing";
+    explain_with_a_file_that_is_missing: ["explain", "9c41d07be2a35f68", "nowhere.log"] => 2, "cannot read nowhere.log";
     no_subcommand: [] => 2, "no subcommand is given; see `buckthornturn --help`";
     unknown_subcommand: ["serve"] => 2, "unknown subcommand `serve`";
     unknown_argument: ["check", "x", "--fast"] => 2, "unknown argument `--fast`";
