Tokens go by a clock that counts standstills; the fleet as a host sees it in a file of its own

Cause: a host that was suspended would have spent tokens, lent for a second, after it woke: the steady clock stands still with the machine. Pools, leases and reserves now go by CLOCK_BOOTTIME.

--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -10,42 +10,26 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
-use coordination::fleet::BoardHost;
-use coordination::fleet::HostNews;
 use coordination::fleet::HostPhase;
-use coordination::fleet::QuotaKeepers;
-use coordination::fleet::QuotaView;
 use coordination::ids::DomainId;
 use coordination::ids::HostId;
 use coordination::ids::Incarnation;
 use coordination::ids::RegionId;
 use coordination::ids::Revision;
 use coordination::ids::RouteId;
-use coordination::ids::ServiceId;
-use indexmap::IndexMap;
-use indexmap::IndexSet;
 use spdlog::info;
 use tokio::sync::watch;
 
 use crate::entry::EntryConfiguration;
 use crate::entry::EntryCore;
 use crate::entry::EntryMetrics;
+use crate::entry::StandstillClock;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
 use crate::interface::StatePart;
 use crate::settings::EntryBounds;
 use crate::settings::EntrySettings;
 
-/// Other hosts heard from which on the fleet is large. Below it each host follows the store by itself.
-const LARGE_FLEET: usize = 16;
-/// Hosts of a region that follow the store in a large fleet: one, and one that stands by.
-const RELAYS: usize = 2;
-
-/// Longest time after its start that a host waits for others before it serves: three heartbeats of theirs.
-const LONGEST_JOIN: Duration = Duration::from_millis(1_500);
-/// Time that it waits at least, as those that started along with it know no more than itself.
-const SHORTEST_JOIN: Duration = Duration::from_millis(500);
-
 /// Names and addresses of this host.
 #[derive(Clone, Debug)]
 pub struct EntryIdentity {
@@ -90,14 +74,15 @@
 
 /// What an entry host knows.
 pub struct EntryState {
-    own: EntryIdentity,
-    settings: EntrySettings,
+    pub(super) own: EntryIdentity,
+    pub(super) settings: EntrySettings,
     metrics: EntryMetrics,
     bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
     changed: watch::Sender<u64>,
     core: Mutex<EntryCore>,
-    started_at: Instant,
+    pub(super) started_at: Instant,
+    clock: StandstillClock,
 }
 
 impl EntryState {
@@ -113,9 +98,15 @@
             changed: watch::Sender::new(0),
             core,
             started_at: Instant::now(),
+            clock: StandstillClock::start(),
         })
     }
 
+    /// The moment now by the clock that customers' tokens go by.
+    pub fn token_time(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Names and addresses of this host.
     pub fn own(&self) -> &EntryIdentity {
         &self.own
@@ -173,7 +164,7 @@
         for change in batch.changes {
             match change {
                 StateChange::Configuration(configuration) => {
-                    self.put_configuration(&mut core, configuration, batch.latest, now);
+                    self.put_configuration(&mut core, configuration, batch.latest);
                 }
                 StateChange::Target(entry) => core.put_target(entry, now),
                 StateChange::TargetGone(target) => core.target_gone(target, is_outage, now),
@@ -245,32 +236,6 @@
         is_later
     }
 
-    /// Mesh address of the host through which this one follows the state, in place of the store. In a large fleet a few
-    /// hosts of each region read the store for the others, as each call is paid for.
-    pub fn relay(&self) -> Option<SocketAddr> {
-        let core = self.lock();
-        let live: Vec<&HostNews> = core
-            .roster
-            .live(Instant::now())
-            .filter(|news| news.phase != HostPhase::Leaving)
-            .collect();
-        if live.len() < LARGE_FLEET {
-            return None;
-        }
-        let mut near: Vec<&HostNews> =
-            live.into_iter().filter(|news| news.region == self.own.region).collect();
-        near.sort_by(|a, b| a.host.cmp(&b.host));
-        let ahead = near.iter().filter(|news| news.host < self.own.host).count();
-        if ahead < RELAYS {
-            return None;
-        }
-        let mut relays = near.iter().take(RELAYS).filter(|news| news.reaches_store);
-        let spread = usize::try_from(self.own.incarnation % RELAYS as u64).unwrap_or(0);
-        let first = relays.next()?;
-        let chosen = if spread == 0 { first } else { relays.next().unwrap_or(first) };
-        Some(chosen.mesh)
-    }
-
     /// Revision of the latest change of a part that was applied.
     pub fn applied(&self, part: StatePart) -> Revision {
         self.lock().applied(part)
@@ -292,22 +257,6 @@
         oldest.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
-    /// Whether another host that was heard lately reaches the store.
-    pub fn is_store_reached_elsewhere(&self) -> bool {
-        self.lock().roster.live(Instant::now()).any(|news| news.reaches_store)
-    }
-
-    /// Whether this host looks out for its region: the first by name of those that are live there.
-    pub fn is_sentinel(&self) -> bool {
-        let core = self.lock();
-        let mut live = core.roster.live(Instant::now());
-        !live.any(|news| {
-            news.region == self.own.region
-                && news.phase == HostPhase::Serving
-                && news.host < self.own.host
-        })
-    }
-
     /// Whether new callers can be served.
     pub fn is_ready(&self) -> bool {
         self.lock().phase == HostPhase::Serving
@@ -318,35 +267,6 @@
         self.lock().phase = HostPhase::Leaving;
     }
 
-    /// What this host says about itself now; each call is another heartbeat.
-    pub fn news(&self) -> HostNews {
-        let now = Instant::now();
-        let mut core = self.lock();
-        core.beat += 1;
-        let demand = core.quotas.demand(now);
-        HostNews { demand, spill: core.board.spill_shares(), ..self.describe(&core) }
-    }
-
-    /// This host as others know it, without figures.
-    fn describe(&self, core: &EntryCore) -> HostNews {
-        HostNews {
-            host: self.own.host.clone(),
-            incarnation: self.own.incarnation,
-            beat: core.beat,
-            phase: core.phase,
-            failure_domain: self.own.failure_domain.clone(),
-            region: self.own.region.clone(),
-            callers: self.own.callers,
-            mesh: self.own.mesh,
-            capacity: self.settings.capacity_cores,
-            applied: core.applied,
-            reaches_store: !core.unreached.contains(&true),
-            fleet: core.roster.counted().count() + 1,
-            demand: IndexMap::new(),
-            spill: IndexMap::new(),
-        }
-    }
-
     /// Does what time brings: hosts and targets that are gone, shares of limits, whether this host is ready.
     pub fn tick(&self) {
         let now = Instant::now();
@@ -361,55 +281,7 @@
         core.drop_vanished(now);
         core.roster.prune(now);
         self.rebalance(&mut core, now);
-        let own = &self.own.host;
-        let EntryCore { roster, board, .. } = &mut *core;
-        let hosts = roster.counted().filter(|news| news.host != *own).map(board_host);
-        let own_host =
-            BoardHost { host: own.clone(), failure_domain: self.own.failure_domain.clone() };
-        board.set_hosts(std::iter::once(own_host).chain(hosts).collect());
-        let near = |news: &&HostNews| news.region == self.own.region && news.host != *own;
-        board.set_neighbour_shares(mean_shares(roster.live(now).filter(near)));
-    }
-
-    /// Whether this host knows the fleet well enough to decide beside the others.
-    pub fn has_joined(&self) -> bool {
-        self.lock().has_joined
-    }
-
-    /// Notes that this host has heard of as many others as they know. A host that knew few would take itself for the one
-    /// that sends to cold targets and keeps customers' tokens.
-    fn join(&self, core: &mut EntryCore, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.started_at);
-        let known = core.roster.counted().count() + 1;
-        let told = core.roster.counted().map(|news| news.fleet).max();
-        core.has_joined |= match told {
-            _ if elapsed >= LONGEST_JOIN || self.is_alone() => true,
-            Some(told) => elapsed >= SHORTEST_JOIN && known >= told,
-            None => false,
-        };
-    }
-
-    fn is_alone(&self) -> bool {
-        self.settings.seeds.iter().all(|seed| *seed == self.own.mesh)
-    }
-
-    /// Finds the keepers of customers' tokens among the hosts known, and shares out the limits that this host keeps.
-    fn rebalance(&self, core: &mut EntryCore, now: Instant) {
-        let itself = self.describe(core);
-        let EntryCore { roster, quotas, keepers, .. } = core;
-        let others = roster.with_life(now).filter(|(news, _)| news.host != self.own.host);
-        *keepers =
-            QuotaKeepers::of(&self.own.region, others.chain(std::iter::once((&itself, true))));
-        let keeps = |customer: &str| {
-            let keeper = keepers.keeper_of(customer);
-            keeper.is_some_and(|keeper| keeper.host == self.own.host)
-        };
-        let far: IndexSet<&RegionId> =
-            self.settings.domains.values().filter(|region| **region != self.own.region).collect();
-        let others =
-            |customer: &str| far.iter().map(|region| roster.demand_of(region, customer)).collect();
-        let hosts = roster.counted().count() + 1;
-        quotas.rebalance(&QuotaView { hosts, keeps: &keeps, others: &others }, now);
+        self.tell_board(&mut core, now);
     }
 
     fn put_configuration(
@@ -417,7 +289,6 @@
         core: &mut EntryCore,
         configuration: EntryConfiguration,
         revision: Revision,
-        now: Instant,
     ) {
         if revision <= core.applied[StatePart::Configuration as usize] {
             return;
@@ -434,7 +305,7 @@
         );
         let customers = configuration.customers.iter();
         let limits = customers.map(|(name, customer)| (name.clone(), customer.limit));
-        core.quotas.set_limits(limits, now);
+        core.quotas.set_limits(limits, self.token_time());
         let is_known = |route: &RouteId| {
             configuration.routes.values().flatten().any(|known| known.name == *route)
         };
@@ -442,17 +313,3 @@
         self.configuration.store(Some(Arc::new(configuration)));
     }
 }
-
-/// Mean of the shares that hosts send outside their region, by service, over those that have any requests.
-fn mean_shares<'a>(hosts: impl Iterator<Item = &'a HostNews>) -> IndexMap<ServiceId, f64> {
-    let mut sums: IndexMap<ServiceId, (f64, f64)> = IndexMap::new();
-    for (service, share) in hosts.flat_map(|news| &news.spill) {
-        let sum = sums.entry(service.clone()).or_default();
-        *sum = (sum.0 + share.clamp(0.0, 1.0), sum.1 + 1.0);
-    }
-    sums.into_iter().map(|(service, (sum, count))| (service, sum / count)).collect()
-}
-
-fn board_host(news: &HostNews) -> BoardHost {
-    BoardHost { host: news.host.clone(), failure_domain: news.failure_domain.clone() }
-}
--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -137,7 +137,7 @@
         let result = self.run_within_limit(job, trail).await;
         match (&result, &job.facts.customer) {
             (Err(refusal), Some(customer)) if refusal.not_run => {
-                self.state.lock().quotas.refund(customer, Instant::now());
+                self.state.lock().quotas.refund(customer, self.state.token_time());
             }
             _ => {}
         }
@@ -165,7 +165,7 @@
         let Some(customer) = &job.facts.customer else { return Ok(()) };
         let (decision, keeper) = {
             let mut core = self.state.lock();
-            let decision = core.quotas.admit(customer, Instant::now());
+            let decision = core.quotas.admit(customer, self.state.token_time());
             (decision, core.keepers.keeper_of(customer).map(|keeper| keeper.mesh))
         };
         let decision = match decision {
@@ -176,7 +176,7 @@
                 };
                 trail.tokens = token_source(grant);
                 self.state.metrics().tokens(trail.tokens);
-                self.state.lock().quotas.receive(customer, grant, Instant::now())
+                self.state.lock().quotas.receive(customer, grant, self.state.token_time())
             }
             decision => decision,
         };
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -121,7 +121,8 @@
         match serde_json::from_slice(bytes) {
             Ok(MeshDatagram::Heartbeat(news)) => self.take_news(*news).await,
             Ok(MeshDatagram::TokenAsk { number, customer, tokens }) => {
-                let grant = self.state.lock().quotas.grant(&customer, tokens, Instant::now());
+                let now = self.state.token_time();
+                let grant = self.state.lock().quotas.grant(&customer, tokens, now);
                 MeshDatagram::TokenGrant { number, grant }.send(&self.socket, sender).await;
             }
             Ok(MeshDatagram::TokenGrant { number, grant }) => self.desk.answered(number, grant),
