Added targets are tried by their first senders; the first report of a load counts for less

The hosts that may send to a target while it is cold now send it the first object that it comes first for, once. Cause 2: the first report set the usual load whole, and a busy first target made hosts refuse in the first seconds. Test that failed first: a_target_that_is_added_is_tried_though_objects_are_warm_elsewhere (0 tries).

--- a/crates/coordination/src/fleet/board_view.rs
+++ b/crates/coordination/src/fleet/board_view.rs
@@ -57,11 +57,20 @@
             let mut candidate = self.candidate(service, record, ask, warmth, now);
             candidate.is_warm = is_warm;
             candidate.cost += pressure.all.min(1.0) * candidate.work;
+            if ranks.is_first(index) && self.is_trial(record, now) {
+                candidate.cost = 0.0;
+            }
             candidates.push(candidate);
         }
         (candidates, pressure)
     }
 
+    /// Whether a request is to go to a target because nobody has tried it. Answers targets that are added while objects are
+    /// warm elsewhere: by cost alone they would stay idle until the others are full.
+    fn is_trial(&self, record: &TargetRecord, now: Instant) -> bool {
+        !record.track.is_tried && !record.track.is_cold(now) && self.is_first_sender(record)
+    }
+
     /// Requests for each slot of a service.
     pub(super) fn pressure(
         &self,
--- a/crates/coordination/src/fleet/placement_candidate.rs
+++ b/crates/coordination/src/fleet/placement_candidate.rs
@@ -69,6 +69,11 @@
 }
 
 impl KeyRanks {
+    /// Whether the target with an index comes first for the object in the region.
+    pub(super) fn is_first(&self, index: usize) -> bool {
+        self.near[0].0 > 0 && self.near[0].1 == index
+    }
+
     /// Likelihood that the object is warm on the target with an index.
     pub(super) fn warmth(&self, index: usize, spilled: f64) -> f64 {
         let place = |ranks: &[(u64, usize)], warmth: &[f64]| {
--- a/crates/coordination/src/fleet/service_record.rs
+++ b/crates/coordination/src/fleet/service_record.rs
@@ -8,6 +8,8 @@
 
 /// Least weight of the latest report in what others usually have on a target.
 const LATEST_USUAL: f64 = 0.05;
+/// Weight of the first report: the first target that answers may be a busy one.
+const FIRST_USUAL: f64 = 0.3;
 /// Time in which earlier reports lose their weight to later ones: some service times. A host that gets few answers learns as
 /// soon as one that gets many.
 const USUAL_MEMORY: Duration = Duration::from_secs(1);
@@ -44,7 +46,7 @@
     pub(super) fn add(&mut self, per_slot: f64, now: Instant) {
         let known = self.per_slot(now);
         let weight = 1.0 - (-self.age(now).as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp();
-        let weight = if self.at.is_none() { 1.0 } else { weight.max(LATEST_USUAL) };
+        let weight = if self.at.is_none() { FIRST_USUAL } else { weight.max(LATEST_USUAL) };
         *self = Self { per_slot: known + weight * (per_slot - known), at: Some(now) };
     }
 
--- a/crates/coordination/src/fleet/target_board.rs
+++ b/crates/coordination/src/fleet/target_board.rs
@@ -307,6 +307,7 @@
     fn start(&mut self, target: &str, key: Option<u64>, now: Instant) {
         let Some(record) = self.targets.get_mut(target) else { return };
         record.track.in_flight += 1;
+        record.track.is_tried = true;
         if record.track.is_cold(now) {
             record.track.cold_pass.fill(now);
             record.track.cold_pass.take(MICRO_TOKENS);
@@ -321,9 +322,9 @@
             && !self.closed.contains(&record.entry.failure_domain)
     }
 
-    /// Whether this host is one of those that may send to a target while it is cold: the nearest ones, the same for all
-    /// hosts that see the same hosts.
-    fn is_cold_sender(&self, record: &TargetRecord) -> bool {
+    /// Whether this host is one of those that may send to a target while it is cold, and that try it first afterwards: the
+    /// nearest ones, the same for all hosts that see the same hosts.
+    pub(super) fn is_first_sender(&self, record: &TargetRecord) -> bool {
         let rank = |host: &BoardHost, salt: u64| {
             let is_near = host.failure_domain == record.entry.failure_domain;
             (is_near, mix(record.salt, salt))
@@ -340,7 +341,7 @@
         }
         let mut pass = record.track.cold_pass.clone();
         pass.fill(now);
-        pass.level() >= MICRO_TOKENS && self.is_cold_sender(record)
+        pass.level() >= MICRO_TOKENS && self.is_first_sender(record)
     }
 }
 
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -66,6 +66,8 @@
 pub struct TargetTrack {
     /// Requests of this host in flight.
     pub in_flight: u32,
+    /// Whether this host ever sent it a request.
+    pub is_tried: bool,
     /// Objects that it handled lately for this host.
     pub warm_keys: WarmKeys,
     /// Likelihood of a failure.
@@ -87,6 +89,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             in_flight: 0,
+            is_tried: false,
             warm_keys: WarmKeys::default(),
             faults: FaultEstimate::new(now),
             speed: 1.0,
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -274,6 +274,25 @@
         let record = Ask::of_object(1).choose(&mut board, later).unwrap();
         assert!(record.pressure > 1.0, "{record:?}");
     };
+    a_target_that_is_added_is_tried_though_objects_are_warm_elsewhere: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        let answer = |board: &mut TargetBoard, object| {
+            let choice = Ask::of_object(object).choose(board, now).unwrap();
+            let time = Duration::from_millis(if choice.is_warm { 110 } else { 360 });
+            let end = AttemptEnd::Answered { time };
+            board.finished(&choice, &"route".into(), end, None, now);
+            choice.target
+        };
+        (0..200).for_each(|object| drop(answer(&mut board, object % 20)));
+        board.put(entry("new", "d1", "r1"), now);
+        let tries = (0..20).filter(|object| &*answer(&mut board, *object) == "new").count();
+        assert!((1..=5).contains(&tries), "{tries}");
+        // Where two other hosts are nearer, they try it.
+        let nearer = ["n1", "n2"].map(|host| BoardHost { host: host.into(), failure_domain: "d2".into() });
+        board.set_hosts(nearer.to_vec());
+        board.put(entry("other", "d2", "r1"), now);
+        assert!((0..20).all(|object| &*answer(&mut board, object) != "other"));
+    };
     a_region_with_few_targets_sends_its_surplus_outside_from_the_start: |now| {
         let mut board = board("h1", "d1", "r1", now);
         for number in 13..=24 {
