What is usual is forgotten after three usual silences

Cause: since the usual load follows the time between reports, it was kept for 2 s without any. A host that refused all heard no more, and went on refusing for two seconds while the targets were done after one service time. Ruled out: a lost target (none was), the share at the start (0 for limon). Change: forgetting begins after three usual intervals between reports, and takes half a second; a target's own report loses its weight in 0.8 s (was 1.5 s). Test that failed first: a_host_that_refused_all_tries_again_within_a_second.

--- a/crates/coordination/src/fleet/service_record.rs
+++ b/crates/coordination/src/fleet/service_record.rs
@@ -13,8 +13,13 @@
 /// Time in which earlier reports lose their weight to later ones: some service times. A host that gets few answers learns as
 /// soon as one that gets many.
 const USUAL_MEMORY: Duration = Duration::from_secs(1);
-/// Time without any report after which all is forgotten by and by, so that a host that refused all for a while tries again.
-const USUAL_LIFE: Duration = Duration::from_secs(2);
+/// Silences, in usual intervals between reports, after which all is forgotten by and by, and the time that this takes. A host
+/// that refused all hears no more, while the targets are done within a service time: it has to try again.
+const SILENT_INTERVALS: u32 = 3;
+const USUAL_LIFE: Duration = Duration::from_millis(500);
+/// Weight of the latest interval between reports, and the longest that counts.
+const LATEST_INTERVAL: f64 = 0.2;
+const MAX_INTERVAL: Duration = Duration::from_secs(1);
 /// Weight of the latest service time in the mean of a target's slots.
 const LATEST_BUSY: f64 = 0.05;
 
@@ -35,11 +40,12 @@
 pub(super) struct UsualLoad {
     per_slot: f64,
     at: Option<Instant>,
+    interval: Duration,
 }
 
 impl UsualLoad {
     pub(super) fn per_slot(&self, now: Instant) -> f64 {
-        let excess = self.age(now).saturating_sub(USUAL_LIFE);
+        let excess = self.age(now).saturating_sub(self.interval * SILENT_INTERVALS);
         self.per_slot * (-excess.as_secs_f64() / USUAL_LIFE.as_secs_f64()).exp()
     }
 
@@ -47,7 +53,14 @@
         let known = self.per_slot(now);
         let weight = 1.0 - (-self.age(now).as_secs_f64() / USUAL_MEMORY.as_secs_f64()).exp();
         let weight = if self.at.is_none() { FIRST_USUAL } else { weight.max(LATEST_USUAL) };
-        *self = Self { per_slot: known + weight * (per_slot - known), at: Some(now) };
+        let interval = match self.at {
+            None => MAX_INTERVAL,
+            Some(_) => {
+                let latest = self.age(now).min(MAX_INTERVAL).mul_f64(LATEST_INTERVAL);
+                self.interval.mul_f64(1.0 - LATEST_INTERVAL) + latest
+            }
+        };
+        *self = Self { per_slot: known + weight * (per_slot - known), at: Some(now), interval };
     }
 
     fn age(&self, now: Instant) -> Duration {
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -7,8 +7,9 @@
 use crate::fleet::WarmKeys;
 use crate::token_bucket::TokenBucket;
 
-/// Time in which what a target reported of other hosts' requests loses its weight.
-const REPORT_MEMORY: Duration = Duration::from_millis(1_500);
+/// Time in which what a target reported of other hosts' requests loses its weight: most of them are done after two service
+/// times.
+const REPORT_MEMORY: Duration = Duration::from_millis(800);
 /// Weight of the latest report.
 const LATEST_REPORT: f64 = 0.5;
 /// Weight of the latest measurement in the speed of a target.
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -274,6 +274,21 @@
         let record = Ask::of_object(1).choose(&mut board, later).unwrap();
         assert!(record.pressure > 1.0, "{record:?}");
     };
+    a_host_that_refused_all_tries_again_within_a_second: |now| {
+        let mut board = board("h1", "d1", "r1", now);
+        let mut later = now;
+        for object in 0..400 {
+            later += Duration::from_millis(10);
+            let Ok(choice) = Ask::of_object(object % 40).choose(&mut board, later) else { continue };
+            let load = TargetLoad { running: 6, waiting: 6, slots: 6 };
+            let end = AttemptEnd::Answered { time: Duration::from_millis(360) };
+            board.finished(&choice, &"route".into(), end, Some(load), later);
+        }
+        assert!(Ask::of_object(50).choose(&mut board, later).is_err());
+        let tries = (0..100).map(|step| later + Duration::from_millis(step * 10));
+        let first = tries.clone().position(|at| Ask::of_object(50).choose(&mut board, at).is_ok());
+        assert!(first.is_some(), "refused for a second");
+    };
     a_target_that_is_added_is_tried_though_objects_are_warm_elsewhere: |now| {
         let mut board = board("h1", "d1", "r1", now);
         let answer = |board: &mut TargetBoard, object| {
