--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -9,7 +9,6 @@
 use coordination::fleet::PlacementChoice;
 use coordination::fleet::PlacementRefusal;
 use coordination::fleet::QuotaDecision;
-use coordination::fleet::TokenGrant;
 use coordination::ids::ServiceId;
 use coordination::ids::TargetId;
 use http::Request;
@@ -37,6 +36,8 @@
 use crate::entry::RequestFacts;
 use crate::entry::TokenDesk;
 use crate::entry::request_facts::asks_upgrade;
+use crate::entry::request_trail::RequestTrail;
+use crate::entry::request_trail::token_source;
 use crate::interface::CallerDialect;
 use crate::logging::ROUTINE_MESSAGE;
 
@@ -61,20 +62,6 @@
     desk: Arc<TokenDesk>,
 }
 
-/// What a request's log line says beside its end.
-struct RequestTrail {
-    /// Where the customer's token came from.
-    tokens: &'static str,
-    service: Option<ServiceId>,
-    target: Option<TargetId>,
-    tries: u64,
-    wait: Duration,
-    load: f64,
-    pressure: f64,
-    is_warm: bool,
-    expected_ms: u64,
-}
-
 impl FrontService {
     /// A service over what the host knows.
     pub fn new(
@@ -358,48 +345,6 @@
     }
 }
 
-impl RequestTrail {
-    fn new() -> Self {
-        Self {
-            tokens: "own",
-            service: None,
-            target: None,
-            tries: 0,
-            wait: Duration::ZERO,
-            load: 0.0,
-            pressure: 0.0,
-            is_warm: false,
-            expected_ms: 0,
-        }
-    }
-
-    fn note(&mut self, choice: &PlacementChoice) {
-        self.target = Some(choice.target.clone());
-        self.tries += 1;
-        self.wait = choice.wait;
-        self.load = choice.load;
-        self.pressure = choice.pressure;
-        self.is_warm = choice.is_warm;
-        self.expected_ms = choice.expected.as_millis() as u64;
-    }
-
-    fn note_refusal(&mut self, refusal: PlacementRefusal) {
-        if let PlacementRefusal::Busy { wait, pressure } = refusal {
-            (self.wait, self.pressure) = (wait, pressure);
-        }
-    }
-}
-
-/// Where a token comes from after a keeper was asked, as logs and metrics name it.
-fn token_source(grant: Option<TokenGrant>) -> &'static str {
-    match grant {
-        None => "reserve-unanswered",
-        Some(TokenGrant { tokens: 0, wait_ms: None }) => "reserve-no-keeper",
-        Some(TokenGrant { tokens: 0, .. }) => "keeper-refused",
-        Some(_) => "keeper",
-    }
-}
-
 /// The end of a request whose time is over. It has not run if nothing of it left this host.
 fn timeout(dispatches: u64) -> Refusal {
     match dispatches {
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod mesh_datagram;
 mod peer_reader;
 mod request_facts;
+mod request_trail;
 mod settings_watch;
 mod standstill_clock;
 mod state_follower;
