Tests of entry hosts take ports below the system's own range

Ruled out: a host of an earlier test still listening (each has ports of its own); load (nothing ran beside it). Change: ports from 12,000 to 32,000, counted on over the process and tried for both kinds of socket. No check is changed.

--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use buckthornturn::document::EntryDocument;
@@ -27,6 +30,14 @@
 /// Longest wait for something that should happen; far above what any check needs.
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// Ports for hosts: free of the system's own choice, which begins at 32,768.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u16 = 20_000;
+/// Distance of the ports of one test process from the next one's.
+const PORTS_PER_PROCESS: u32 = 400;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// A store, targets of one service and entry hosts.
 pub struct EntryFleet {
     pub store: PlatformStore,
@@ -208,9 +219,23 @@
 }
 
 fn free_ports() -> HostPorts {
-    let listeners: Vec<_> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let address = |at: usize| listeners[at].local_addr().unwrap();
-    HostPorts { callers: address(0), look_ups: address(1), readiness: address(2), mesh: address(3) }
+    let address = || SocketAddr::from(([127, 0, 0, 1], free_port()));
+    HostPorts { callers: address(), look_ups: address(), readiness: address(), mesh: address() }
+}
+
+/// A port below those that the system hands out to connections: one of those could be taken again before its host listens.
+fn free_port() -> u16 {
+    loop {
+        let number = std::process::id()
+            .wrapping_mul(PORTS_PER_PROCESS)
+            .wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + u16::try_from(number % u32::from(PORT_COUNT)).unwrap();
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
+            return port;
+        }
+    }
 }
 
 /// Asks for a path.
