A host that was listed and never heard is called at each beat

Only relays of other domains read of it in the list, and called such a host once in sixteen beats, eight seconds; the test asks for five. Change: a relay calls, at each beat, one member of another domain that was listed within 30 s and never heard. Test without the fleet: a_listed_host_that_was_never_heard_is_called_at_each_beat (the call did not exist before).

--- a/crates/buckthornturn/src/membership/member_actor.rs
+++ b/crates/buckthornturn/src/membership/member_actor.rs
@@ -223,7 +223,9 @@
         self.publish();
         let urgent = !self.status.reaches_store(now);
         let length = self.digest_length(now);
-        let peers = self.table.next_peers(urgent);
+        let mut peers = self.table.next_peers(urgent);
+        let unheard = self.table.unheard_peer(now);
+        peers.extend(unheard.filter(|(host, ..)| peers.iter().all(|(known, ..)| known != host)));
         let call = |(host, incarnation, address): (HostId, Incarnation, SocketAddr)| {
             let others = self.table.digest(&host, length, now);
             BeatCall { host, incarnation, address, others }
--- a/crates/coordination/src/member_record.rs
+++ b/crates/coordination/src/member_record.rs
@@ -100,6 +100,11 @@
         (self.heartbeat.host.clone(), self.heartbeat.incarnation, self.heartbeat.mesh)
     }
 
+    /// Whether it is known for no longer than `within`, and was never heard.
+    pub(crate) fn is_unheard_since(&self, now: Instant, within: Duration) -> bool {
+        self.said_at.is_none() && now.saturating_duration_since(self.known_since) <= within
+    }
+
     /// Health, with leaving above live.
     pub(crate) fn health(&self) -> MemberHealth {
         match self.health {
--- a/crates/coordination/src/member_table.rs
+++ b/crates/coordination/src/member_table.rs
@@ -33,6 +33,8 @@
 const PROBE_TURN: usize = 8;
 /// Heartbeats in the own domain to one between failure domains, at rest.
 const FAR_BEATS: usize = 2;
+/// Time after it was listed for which a host that was never heard is called at each beat; a start takes a few seconds.
+const CALL_UNHEARD_FOR: Duration = Duration::from_secs(30);
 /// Age from which a hearing is not passed on to others.
 const PASS_ON_WITHIN: Duration = Duration::from_secs(5);
 
@@ -65,6 +67,7 @@
     records: IndexMap<HostId, MemberRecord>,
     beat_turn: usize,
     relay_turn: usize,
+    unheard_turn: usize,
     digest_turn: usize,
     latest_loss: Option<Instant>,
 }
@@ -77,6 +80,7 @@
             records: IndexMap::new(),
             beat_turn: 0,
             relay_turn: 0,
+            unheard_turn: 0,
             digest_turn: 0,
             latest_loss: None,
         }
@@ -182,6 +186,16 @@
         chosen
     }
 
+    /// From a relay, a member of another failure domain that was listed lately and never heard, each in turn. One whose own
+    /// domain is cut off from the store hears of nobody unless it is called.
+    pub fn unheard_peer(&mut self, now: Instant) -> Option<(HostId, Incarnation, SocketAddr)> {
+        self.relay_rank()?;
+        self.unheard_turn = self.unheard_turn.wrapping_add(1);
+        let is_new = |record: &&MemberRecord| record.is_unheard_since(now, CALL_UNHEARD_FOR);
+        let unheard: Vec<_> = self.foreign_suspects().into_iter().filter(is_new).collect();
+        next_callable(&unheard, self.unheard_turn).map(MemberRecord::callee)
+    }
+
     /// Sayings of up to `count` members to pass on to `receiver`, in turn, those of the own domain first if
     /// the receiver is of another one.
     pub fn digest(&mut self, receiver: &str, count: usize, now: Instant) -> Vec<HeardHeartbeat> {
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -279,6 +279,19 @@
         assert!(rows.iter().all(|row| called.contains(&row.host)), "{called:?}");
     }
 
+    a_listed_host_that_was_never_heard_is_called_at_each_beat: |model| {
+        let far = |host: &str| ListedHost { failure_domain: "far".into(), ..row(host, false) };
+        model.table.listed(&[far("heard"), far("new"), far("newer")], None, model.now);
+        model.hear(Heartbeat { failure_domain: "far".into(), ..heartbeat("heard", 1) });
+        let called: Vec<_> = (0..2)
+            .filter_map(|_| model.table.unheard_peer(model.now).map(|(host, _, _)| host))
+            .collect();
+        assert!(called.len() == 2 && !called.contains(&"heard".into()), "{called:?}");
+        assert_ne!(called[0], called[1]);
+        model.pass(Duration::from_secs(31));
+        assert_eq!(model.table.unheard_peer(model.now), None);
+    }
+
     cut_off_is_concluded_when_all_say_so: |model| {
         let confirmed = model.now;
         model.pass(BEAT);
