explain keeps no more than it needs and tells lines of any kind

Cause: a line without end was read whole into memory before it was cut; each new prefix made another host without bound; a line of the own interface that names the request was told as "status -, - ms". Change: lines over 16 KB are passed over as they come and counted, 4,096 hosts and 64 lines of the request are told apart; a line without a status is told as it is. Tests: a_line_without_end_is_not_kept (8 MB, at most 64 KB kept), many_prefixes_do_not_fill_the_memory, a_line_of_another_kind_is_told_as_it_is (failed first).

--- a/crates/buckthornturn/src/explain/request_story.rs
+++ b/crates/buckthornturn/src/explain/request_story.rs
@@ -94,6 +94,11 @@
 
 impl fmt::Display for RequestScene {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if !self.fields.contains_key("status") {
+            let fields = self.fields.iter().map(|(name, value)| format!(" {name}={value}"));
+            let fields = fields.collect::<String>();
+            return writeln!(formatter, "{} at {}: {}{fields}", self.time, self.host, self.message);
+        }
         writeln!(formatter, "{} at {}: {}", self.time, self.host, self.message)?;
         let took = self.field("took_ms");
         writeln!(
--- a/crates/buckthornturn/src/explain/story_reader.rs
+++ b/crates/buckthornturn/src/explain/story_reader.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::BufRead;
+use std::io::Read;
 use std::path::Path;
 
 use indexmap::IndexMap;
@@ -10,8 +11,12 @@
 use crate::explain::RequestStory;
 use crate::explain::request_story::RequestScene;
 
-/// Longest part of a line that is read, in bytes; ours are well below.
-const MAX_LINE_BYTES: usize = 16 << 10;
+/// Longest line that is read, in bytes; ours are well below. A longer one is none of ours.
+const MAX_LINE_BYTES: u64 = 16 << 10;
+/// Most hosts that are told apart; more than any fleet has. Lines of others count as unread.
+const MAX_HOSTS: usize = 4_096;
+/// Most lines of the request that are kept; one is usual.
+const MAX_SCENES: usize = 64;
 /// Most subjects that are remembered of one host: its targets, its dependencies and itself.
 const MAX_SUBJECTS: usize = 8_192;
 
@@ -22,6 +27,7 @@
     request: Box<str>,
     hosts: IndexMap<Box<str>, HostScene>,
     scenes: Vec<RequestScene>,
+    line: Vec<u8>,
     lines: u64,
     unread: u64,
     first: Option<Box<str>>,
@@ -42,6 +48,7 @@
             request: request.into(),
             hosts: IndexMap::new(),
             scenes: Vec::new(),
+            line: Vec::new(),
             lines: 0,
             unread: 0,
             first: None,
@@ -56,20 +63,17 @@
     /// Fails if the file cannot be read.
     pub fn read(&mut self, path: &Path, input: &mut impl BufRead) -> io::Result<()> {
         let file = path.display().to_string();
-        let mut bytes = Vec::new();
-        loop {
-            bytes.clear();
-            if input.read_until(b'\n', &mut bytes)? == 0 {
-                return Ok(());
-            }
-            bytes.truncate(MAX_LINE_BYTES);
+        let mut line = std::mem::take(&mut self.line);
+        while next_line(input, &mut line)? {
             self.lines += 1;
-            let text = String::from_utf8_lossy(&bytes);
+            let text = String::from_utf8_lossy(&line);
             match LogLine::parse(text.trim_end()) {
-                Some(line) => self.take(&file, &line),
-                None => self.unread += 1,
+                Some(parsed) if self.take(&file, &parsed) => {}
+                _ => self.unread += 1,
             }
         }
+        self.line = line;
+        Ok(())
     }
 
     /// What was found.
@@ -83,7 +87,20 @@
         }
     }
 
-    fn take(&mut self, file: &str, line: &LogLine<'_>) {
+    /// Bytes set aside for a line.
+    #[cfg(test)]
+    pub(super) fn line_capacity(&self) -> usize {
+        self.line.capacity()
+    }
+
+    /// Hosts told apart.
+    #[cfg(test)]
+    pub(super) fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Takes a line; returns whether its host is one of those told apart.
+    fn take(&mut self, file: &str, line: &LogLine<'_>) -> bool {
         if self.first.as_deref().is_none_or(|first| line.time < first) {
             self.first = Some(line.time.into());
         }
@@ -91,8 +108,11 @@
             self.last = Some(line.time.into());
         }
         let collector_name = line.prefix.split_whitespace().next_back().unwrap_or_default();
-        let key = format!("{file} {collector_name}");
-        let host = self.hosts.entry(key.into()).or_default();
+        let key = format!("{file} {collector_name}").into_boxed_str();
+        if self.hosts.len() >= MAX_HOSTS && !self.hosts.contains_key(&key) {
+            return false;
+        }
+        let host = self.hosts.entry(key).or_default();
         if host.name.is_none() {
             let name = if collector_name.is_empty() { file } else { collector_name };
             host.name = Some(name.into());
@@ -102,13 +122,26 @@
             host.beliefs.clear();
         }
         match line.field("request_id") {
-            Some(request) if request == &*self.request => {
+            Some(request) if request == &*self.request && self.scenes.len() < MAX_SCENES => {
                 self.scenes.push(host.scene(line));
             }
             Some(_) => {}
             None => host.note(line),
         }
+        true
+    }
+}
+
+/// Reads the next line, or nothing of one that is too long; returns whether there was one.
+fn next_line(input: &mut impl BufRead, line: &mut Vec<u8>) -> io::Result<bool> {
+    line.clear();
+    input.by_ref().take(MAX_LINE_BYTES).read_until(b'\n', line)?;
+    let is_cut = line.len() as u64 == MAX_LINE_BYTES && line.last() != Some(&b'\n');
+    if is_cut {
+        line.clear();
+        input.skip_until(b'\n')?;
     }
+    Ok(is_cut || !line.is_empty())
 }
 
 impl HostScene {
--- a/crates/buckthornturn/src/explain/tests.rs
+++ b/crates/buckthornturn/src/explain/tests.rs
@@ -1,3 +1,4 @@
+use std::io::Read;
 use std::path::Path;
 
 use super::LogLine;
@@ -73,6 +74,52 @@
     }
 }
 
+/// Input without an end of a line; counts what was taken of it at once.
+struct EndlessLine {
+    left: usize,
+}
+
+impl std::io::Read for EndlessLine {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let length = buffer.len().min(self.left);
+        buffer[..length].fill(b'x');
+        self.left -= length;
+        Ok(length)
+    }
+}
+
+#[test]
+fn a_line_without_end_is_not_kept() {
+    let mut reader = StoryReader::new("4c356dd654f48384");
+    let mut input = std::io::BufReader::new(EndlessLine { left: 8 << 20 }.chain(LOG.as_bytes()));
+    reader.read(Path::new("hosts.log"), &mut input).unwrap();
+    assert!(reader.line_capacity() <= 64 << 10, "{} bytes", reader.line_capacity());
+    let story = reader.story().to_string();
+    assert!(story.contains("edge-asan-2") && story.contains("2 could not be read"), "{story}");
+}
+
+#[test]
+fn many_prefixes_do_not_fill_the_memory() {
+    let mut reader = StoryReader::new("4c356dd654f48384");
+    let line = |number: usize| {
+        format!("x-{number} 2026-07-17T03:25:33.007Z warn store lost part=targets\n")
+    };
+    let log: String = (0..20_000).map(line).collect();
+    reader.read(Path::new("hosts.log"), &mut log.as_bytes()).unwrap();
+    assert!(reader.hosts() <= 4_096, "{}", reader.hosts());
+}
+
+#[test]
+fn a_line_of_another_kind_is_told_as_it_is() {
+    let log =
+        "2026-07-17T03:25:33.007Z info target chosen request_id=abc target=t-1 queued_us=12\n";
+    let mut reader = StoryReader::new("abc");
+    reader.read(Path::new("host.log"), &mut log.as_bytes()).unwrap();
+    let story = reader.story().to_string();
+    assert!(story.contains("target chosen request_id=abc target=t-1 queued_us=12"), "{story}");
+    assert!(!story.contains("status"), "{story}");
+}
+
 proptest::proptest! {
     #[test]
     fn no_bytes_stop_the_reader(bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..400)) {
