A host tells the same demand to all until its next heartbeat; datagrams are written once

Cause: each answer to a host that joined advanced the number of the heartbeat and the demand by which regions share limits, so that keepers reckoned with figures that others had not heard; hosts that keep nothing made up a message for keepers with each heartbeat; a heartbeat was written anew for each receiver. Change: a heartbeat begins with a call that advances number and demand; news are those of the latest one; a datagram is written once and sent to all receivers, and not at all for none. Test: demand_is_told_as_of_the_heartbeat.

--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -69,11 +69,17 @@
         })
     }
 
-    /// What this host says about itself now; each call is another heartbeat.
-    pub fn news(&self) -> HostNews {
+    /// Begins another heartbeat: the demand told until the next one is that of now.
+    pub fn beat(&self) {
         let mut core = self.lock();
         core.beat += 1;
-        let demand = core.quotas.demand(self.token_time());
+        core.quotas.tell_demand(self.token_time());
+    }
+
+    /// What this host says about itself, with the demand of its latest heartbeat: all who hear it know the same.
+    pub fn news(&self) -> HostNews {
+        let core = self.lock();
+        let demand = core.quotas.told_demand();
         HostNews { demand, spill: core.board.spill_shares(), ..self.describe(&core) }
     }
 
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -72,6 +72,7 @@
     }
 
     async fn beat(&self) {
+        self.state.beat();
         let own = self.state.own().mesh;
         let mut receivers: IndexSet<SocketAddr> = IndexSet::new();
         let far = {
@@ -90,20 +91,12 @@
             false => receivers.extend(seeds),
         }
         let message = self.message(MAX_RIDERS, !has_joined);
-        for receiver in &receivers {
-            message.send(&self.socket, *receiver).await;
-        }
-        self.tell_keepers(far.into_iter().filter(|keeper| !receivers.contains(keeper))).await;
-    }
-
-    /// Keepers share out the limits over the regions by each other's demand, so they hear each other each time.
-    async fn tell_keepers(&self, keepers: impl Iterator<Item = SocketAddr>) {
-        let own = self.state.news();
-        let (others, seen, asks) = (Vec::new(), Vec::new(), false);
-        let message = MeshDatagram::Heartbeat(Box::new(HeartbeatNews { own, others, seen, asks }));
-        for keeper in keepers {
-            message.send(&self.socket, keeper).await;
-        }
+        message.send(&self.socket, receivers.iter().copied()).await;
+        // Keepers share out the limits over the regions by each other's demand, so they hear each other each time.
+        let far = far.into_iter().filter(|keeper| !receivers.contains(keeper));
+        let (own, others, seen) = (self.state.news(), Vec::new(), Vec::new());
+        let message = HeartbeatNews { own, others, seen, asks: false };
+        MeshDatagram::Heartbeat(Box::new(message)).send(&self.socket, far).await;
     }
 
     fn message(&self, riders: usize, asks: bool) -> MeshDatagram {
@@ -123,7 +116,7 @@
             Ok(MeshDatagram::TokenAsk { number, customer, tokens }) => {
                 let now = self.state.token_time();
                 let grant = self.state.lock().quotas.grant(&customer, tokens, now);
-                MeshDatagram::TokenGrant { number, grant }.send(&self.socket, sender).await;
+                MeshDatagram::TokenGrant { number, grant }.send(&self.socket, [sender]).await;
             }
             Ok(MeshDatagram::TokenGrant { number, grant }) => self.desk.answered(number, grant),
             Err(error) => warn!("datagram not understood", kv: { sender:, reason: = error }),
@@ -157,7 +150,7 @@
         };
         if is_stranger || asks {
             let riders = if asks { MAX_INTRODUCED } else { MAX_RIDERS };
-            self.message(riders, false).send(&self.socket, receiver).await;
+            self.message(riders, false).send(&self.socket, [receiver]).await;
         }
     }
 }
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -50,14 +50,20 @@
 }
 
 impl MeshDatagram {
-    /// Sends it. A datagram may be lost, so that a failure is only logged.
-    pub async fn send(&self, socket: &UdpSocket, receiver: SocketAddr) {
+    /// Sends it to each receiver. A datagram may be lost, so that a failure is only logged.
+    pub async fn send(&self, socket: &UdpSocket, receivers: impl IntoIterator<Item = SocketAddr>) {
+        let mut receivers = receivers.into_iter().peekable();
+        if receivers.peek().is_none() {
+            return;
+        }
         let bytes = match serde_json::to_vec(self) {
             Ok(bytes) => bytes,
             Err(error) => return warn!("datagram not written", kv: { reason: = error }),
         };
-        if let Err(error) = socket.send_to(&bytes, receiver).await {
-            debug!("datagram not sent", kv: { receiver:, reason: = error });
+        for receiver in receivers {
+            if let Err(error) = socket.send_to(&bytes, receiver).await {
+                debug!("datagram not sent", kv: { receiver:, reason: = error });
+            }
         }
     }
 }
--- a/crates/buckthornturn/src/entry/token_desk.rs
+++ b/crates/buckthornturn/src/entry/token_desk.rs
@@ -60,7 +60,7 @@
         let _waiting = PendingAsk { desk: self, number };
         let ask = MeshDatagram::TokenAsk { number, customer: customer.clone(), tokens };
         for wait in ASK_WAITS {
-            ask.send(&self.socket, keeper).await;
+            ask.send(&self.socket, [keeper]).await;
             if let Ok(answer) = tokio::time::timeout(wait, &mut receiver).await {
                 return answer.ok();
             }
--- a/crates/coordination/src/fleet/quota_ledger.rs
+++ b/crates/coordination/src/fleet/quota_ledger.rs
@@ -199,17 +199,20 @@
         }
     }
 
-    /// Requests a second of each customer whose tokens this host keeps, over all hosts of the region, as it tells the
-    /// others now.
-    pub fn demand(&mut self, now: Instant) -> IndexMap<CustomerId, f32> {
-        let mut demand = IndexMap::new();
-        for (customer, account) in &mut self.accounts {
-            if let Some(pool) = &mut account.pool {
-                pool.told = pool.meter.per_second(now) as f64 / MICRO_TOKENS as f64;
-                demand.insert(customer.clone(), pool.told as f32);
-            }
+    /// Takes the demand of now as what this host tells the others, and shares limits by, until the next time.
+    pub fn tell_demand(&mut self, now: Instant) {
+        for pool in self.accounts.values_mut().filter_map(|account| account.pool.as_mut()) {
+            pool.told = pool.meter.per_second(now) as f64 / MICRO_TOKENS as f64;
         }
-        demand
+    }
+
+    /// Requests a second of each customer whose tokens this host keeps, over all hosts of the region, as last told.
+    pub fn told_demand(&self) -> IndexMap<CustomerId, f32> {
+        let pool = |account: &QuotaAccount| account.pool.as_ref().map(|pool| pool.told as f32);
+        let accounts = self.accounts.iter();
+        accounts
+            .filter_map(|(customer, account)| Some((customer.clone(), pool(account)?)))
+            .collect()
     }
 }
 
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -63,7 +63,8 @@
                 let keeps = |_: &str| host == 0;
                 ledger.rebalance(&QuotaView { hosts, keeps: &keeps, others: &others }, now);
             }
-            let demand = ledgers[0].demand(now);
+            ledgers[0].tell_demand(now);
+            let demand = ledgers[0].told_demand();
             self.told[region] = f64::from(demand.get(CUSTOMER).copied().unwrap_or(0.0));
         }
     }
@@ -250,7 +251,8 @@
     an_unlisted_customer_has_no_demand: |now| {
         let mut ledger = QuotaLedger::default();
         assert_eq!(ledger.admit("stranger", now), QuotaDecision::Admitted);
-        assert!(ledger.demand(now).is_empty());
+        ledger.tell_demand(now);
+        assert!(ledger.told_demand().is_empty());
     };
     a_lowered_limit_keeps_the_demand_known: |now| {
         let mut ledger = kept(CustomerLimit { rate: 100.0, burst: 100.0 }, now);
@@ -259,7 +261,8 @@
         }
         let lower = CustomerLimit { rate: 10.0, burst: 10.0 };
         ledger.set_limits([(CUSTOMER.into(), lower)].into_iter(), now);
-        assert!(ledger.demand(now)[CUSTOMER] > 0.0);
+        ledger.tell_demand(now);
+        assert!(ledger.told_demand()[CUSTOMER] > 0.0);
     };
     a_host_that_keeps_no_tokens_hands_none_out: |now| {
         let mut ledger = QuotaLedger::default();
@@ -299,6 +302,16 @@
         let later = now + Duration::from_secs(2);
         assert_eq!(ledger.admit(CUSTOMER, later), QuotaDecision::Ask { tokens: 1 });
     };
+    demand_is_told_as_of_the_heartbeat: |now| {
+        let mut ledger = kept(CustomerLimit { rate: 100.0, burst: 100.0 }, now);
+        ledger.tell_demand(now);
+        for _ in 0..50 {
+            ledger.admit(CUSTOMER, now);
+        }
+        assert_eq!(ledger.told_demand()[CUSTOMER], 0.0);
+        ledger.tell_demand(now);
+        assert!(ledger.told_demand()[CUSTOMER] > 0.0);
+    };
     hosts_of_a_region_agree_on_the_keeper: |_| {
         let hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1), host("x", "r2", 0.1)];
         let near = "r1".into();
