--- a/crates/buckthornturn/tests/contract/deployment.rs
+++ b/crates/buckthornturn/tests/contract/deployment.rs
@@ -16,8 +16,8 @@
 use serde_json::Value;
 use serde_json::json;
 use standin::store::StoreStandin;
-use standin::target::TargetBehaviour;
-use standin::target::TargetStandin;
+use standin::target_standin::TargetBehaviour;
+use standin::target_standin::TargetStandin;
 use tokio::runtime::Runtime;
 
 pub const WRITE_TOKEN: &str = "write-token";
--- a/crates/standin/examples/proxy_overhead.rs
+++ b/crates/standin/examples/proxy_overhead.rs
@@ -21,8 +21,8 @@
 use serde_json::json;
 use standin::json_client::JsonClient;
 use standin::store::StoreStandin;
-use standin::target::TargetBehaviour;
-use standin::target::TargetStandin;
+use standin::target_standin::TargetBehaviour;
+use standin::target_standin::TargetStandin;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
--- a/crates/standin/src/deployment/deployment_options.rs
+++ b/crates/standin/src/deployment/deployment_options.rs
@@ -4,7 +4,7 @@
 
 use crate::deployment::DeploymentKind;
 use crate::network::LinkLatency;
-use crate::target::TargetBehaviour;
+use crate::target_standin::TargetBehaviour;
 
 const HOSTS: usize = 10;
 const WORK_MS: u64 = 10;
--- a/crates/standin/src/deployment/target_slot.rs
+++ b/crates/standin/src/deployment/target_slot.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use crate::deployment::DeploymentError;
-use crate::target::ExecutionLedger;
-use crate::target::TargetBehaviour;
-use crate::target::TargetCounts;
-use crate::target::TargetStandin;
+use crate::target_standin::ExecutionLedger;
+use crate::target_standin::TargetBehaviour;
+use crate::target_standin::TargetCounts;
+use crate::target_standin::TargetStandin;
 
 /// Place of one target. Its ledger outlives its process.
 pub struct TargetSlot {
--- a/crates/standin/src/experiment/experiment_plan.rs
+++ b/crates/standin/src/experiment/experiment_plan.rs
@@ -5,7 +5,7 @@
 
 use crate::deployment::DeploymentKind;
 use crate::experiment::TimedFault;
-use crate::target::TargetBehaviour;
+use crate::target_standin::TargetBehaviour;
 
 const DEFAULT_RATE_SHARE: f64 = 0.6;
 const MAX_SECONDS: f64 = 600.0;
--- a/crates/standin/src/experiment/experiment_report.rs
+++ b/crates/standin/src/experiment/experiment_report.rs
@@ -12,7 +12,7 @@
 use crate::load::LoadReport;
 use crate::load::RequestEnd;
 use crate::load::RequestRecord;
-use crate::target::TargetCounts;
+use crate::target_standin::TargetCounts;
 
 /// The quantities that both users measure, and the promises that must hold.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/crates/standin/src/experiment/fault_runner.rs
+++ b/crates/standin/src/experiment/fault_runner.rs
@@ -14,7 +14,7 @@
 use crate::experiment::FaultAction;
 use crate::experiment::TimedFault;
 use crate::experiment::fault_action::part_name;
-use crate::target::TargetBehaviour;
+use crate::target_standin::TargetBehaviour;
 
 /// Weights that racing operators go round.
 const MAX_RACED_WEIGHT: u64 = 8;
--- a/crates/standin/src/experiment/fleet_sampler.rs
+++ b/crates/standin/src/experiment/fleet_sampler.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 
 use crate::deployment::FleetDeployment;
-use crate::target::ExecutionLedger;
+use crate::target_standin::ExecutionLedger;
 
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,6 @@
 pub mod report_table;
 mod run;
 pub mod store;
-pub mod target;
+pub mod target_standin;
 
 pub use run::run;
--- a/crates/standin/src/load/content_check.rs
+++ b/crates/standin/src/load/content_check.rs
@@ -8,7 +8,7 @@
 use crate::load::RequestEnd;
 use crate::load::RequestTemplate;
 use crate::load::request_body::body_digest;
-use crate::target::AnswerContent;
+use crate::target_standin::AnswerContent;
 
 const MAX_ECHO_BYTES: usize = 64 * 1024;
 
--- a/crates/standin/src/load/request_body.rs
+++ b/crates/standin/src/load/request_body.rs
@@ -14,7 +14,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
-use crate::target::AnswerContent;
+use crate::target_standin::AnswerContent;
 
 const PIECE_BYTES: u64 = 16 * 1024;
 
--- a/crates/standin/src/report_table.rs
+++ b/crates/standin/src/report_table.rs
@@ -7,7 +7,7 @@
 use crate::deployment::FleetDeployment;
 use crate::experiment::ExperimentReport;
 use crate::load::LoadReport;
-use crate::target::TargetCounts;
+use crate::target_standin::TargetCounts;
 
 /// Latency by customer, refusals by reason, answers by failure domain and what the targets counted.
 pub fn report_text(report: &LoadReport, deployment: &FleetDeployment) -> String {
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -19,8 +19,8 @@
 use crate::report_table::experiment_text;
 use crate::report_table::summary_row;
 use crate::store::StoreStandin;
-use crate::target::TargetBehaviour;
-use crate::target::TargetStandin;
+use crate::target_standin::TargetBehaviour;
+use crate::target_standin::TargetStandin;
 
 const HELP: &str = "\
 buckthornturn-standin: stand-ins for the store, targets and callers
--- a/crates/standin/src/target/health_report.rs
+++ b/crates/standin/src/target_standin/health_report.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::target::TargetBehaviour;
+use crate::target_standin::TargetBehaviour;
 
 /// Samples kept; with one for each change of load it bounds how far a report can lag under load.
 const MAX_SAMPLES: usize = 4_096;
--- a/crates/standin/src/target/mod.rs
+++ b/crates/standin/src/target_standin/mod.rs
@@ -13,14 +13,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-pub use crate::target::answer_content::AnswerContent;
-pub use crate::target::execution_ledger::ExecutionLedger;
-pub use crate::target::execution_ledger::TargetCounts;
-pub use crate::target::target_behaviour::LoadReport;
-pub use crate::target::target_behaviour::TargetBehaviour;
+pub use crate::target_standin::answer_content::AnswerContent;
+pub use crate::target_standin::execution_ledger::ExecutionLedger;
+pub use crate::target_standin::execution_ledger::TargetCounts;
+pub use crate::target_standin::target_behaviour::LoadReport;
+pub use crate::target_standin::target_behaviour::TargetBehaviour;
 
 use crate::http_server::HttpServer;
-use crate::target::target_service::TargetService;
+use crate::target_standin::target_service::TargetService;
 
 /// A running stand-in of a target; dropping it closes its connections in the middle of whatever runs.
 pub struct TargetStandin {
--- a/crates/standin/src/target/paced_body.rs
+++ b/crates/standin/src/target_standin/paced_body.rs
@@ -11,8 +11,8 @@
 use hyper::body::Frame;
 
 use crate::http_server::ServerBody;
-use crate::target::AnswerContent;
-use crate::target::slot_pool::SlotGuard;
+use crate::target_standin::AnswerContent;
+use crate::target_standin::slot_pool::SlotGuard;
 
 const PIECE_BYTES: u64 = 16 * 1024;
 
--- a/crates/standin/src/target/slot_pool.rs
+++ b/crates/standin/src/target_standin/slot_pool.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
-use crate::target::ExecutionLedger;
+use crate::target_standin::ExecutionLedger;
 
 /// Counts the requests in flight against a bound.
 #[derive(Default)]
--- a/crates/standin/src/target/target_service.rs
+++ b/crates/standin/src/target_standin/target_service.rs
@@ -33,15 +33,15 @@
 use crate::http_server::json_answer;
 use crate::http_server::plain_answer;
 use crate::http_server::query_number;
-use crate::target::AnswerContent;
-use crate::target::ExecutionLedger;
-use crate::target::TargetBehaviour;
-use crate::target::TargetCounts;
-use crate::target::health_report::HealthReport;
-use crate::target::paced_body::paced_body;
-use crate::target::slot_pool::SlotGuard;
-use crate::target::slot_pool::SlotPool;
-use crate::target::warm_curve::work_time;
+use crate::target_standin::AnswerContent;
+use crate::target_standin::ExecutionLedger;
+use crate::target_standin::TargetBehaviour;
+use crate::target_standin::TargetCounts;
+use crate::target_standin::health_report::HealthReport;
+use crate::target_standin::paced_body::paced_body;
+use crate::target_standin::slot_pool::SlotGuard;
+use crate::target_standin::slot_pool::SlotPool;
+use crate::target_standin::warm_curve::work_time;
 
 /// Header that marks an answer as shed before it ran.
 pub const SHED_HEADER: &str = "target-shed";
--- a/crates/standin/src/target/warm_curve.rs
+++ b/crates/standin/src/target_standin/warm_curve.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::target::TargetBehaviour;
+use crate::target_standin::TargetBehaviour;
 
 /// Time that a request takes, by how much the target has done since its start. The factor falls linearly to 1.
 pub fn work_time(behaviour: &TargetBehaviour, requests_done: u64, uptime: Duration) -> Duration {
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -18,10 +18,10 @@
 use serde_json::Value;
 use serde_json::json;
 use standin::json_client::JsonClient;
-use standin::target::AnswerContent;
-use standin::target::TargetBehaviour;
-use standin::target::TargetCounts;
-use standin::target::TargetStandin;
+use standin::target_standin::AnswerContent;
+use standin::target_standin::TargetBehaviour;
+use standin::target_standin::TargetCounts;
+use standin::target_standin::TargetStandin;
 use tokio::net::TcpStream;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
