--- a/crates/buckthornturn/src/entry/front_service.rs
+++ b/crates/buckthornturn/src/entry/front_service.rs
@@ -368,3 +368,7 @@
     };
     let _ = tokio::time::timeout(DRAIN_TIME, rest).await;
 }
+
+#[cfg(test)]
+#[path = "front_service_tests.rs"]
+mod tests;
