Log: attempts whose target closed the connection, with a fingerprint of the request

Logs named the last target of a request and no path or body, so that a request which crashes targets and one that ran beside it looked alike. No decision changes.

--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -70,6 +70,7 @@
 pub use stored_answer::StoredOutcome;
 pub use target_connection::ConnectError;
 pub use target_connection::TargetConnection;
+pub use target_connection::is_closed_without_answer;
 pub use target_connection::is_silent;
 pub use target_pool::PoolKey;
 pub use target_pool::TargetPool;
--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -11,6 +11,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::fleet::MAX_DIGESTED_BYTES;
+use coordination::fleet::digest_body;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
@@ -39,6 +41,8 @@
     buffered_parts: Vec<Bytes>,
     buffered_bytes: usize,
     is_buffer_complete: bool,
+    /// Digest of a body that is no longer buffered.
+    digest: Option<u64>,
     received_bytes: u64,
     expected_bytes: Option<u64>,
     finished_at: Option<Instant>,
@@ -67,6 +71,7 @@
             buffered_parts: Vec::new(),
             buffered_bytes: 0,
             is_buffer_complete: true,
+            digest: None,
             received_bytes: 0,
             expected_bytes: size.exact(),
             finished_at: is_empty.then_some(now),
@@ -108,6 +113,11 @@
         state.is_buffer_complete && state.fault.is_none()
     }
 
+    /// Digest by which the body is recognized if it is sent again; `None` until enough of it was read.
+    pub fn digest(&self) -> Option<u64> {
+        self.lock().digest()
+    }
+
     /// Time at which the end of the body was read; `None` if it was not read yet.
     pub fn finished_at(&self) -> Option<Instant> {
         self.lock().finished_at
@@ -143,6 +153,18 @@
 }
 
 impl UploadState {
+    fn digest(&self) -> Option<u64> {
+        let is_known = self.finished_at.is_some() || self.buffered_bytes >= MAX_DIGESTED_BYTES;
+        match self.is_buffer_complete {
+            true => is_known.then(|| self.digest_buffer()),
+            false => self.digest,
+        }
+    }
+
+    fn digest_buffer(&self) -> u64 {
+        digest_body(self.buffered_parts.iter().map(|part| &**part), self.expected_bytes)
+    }
+
     fn record_data(&mut self, data: &Bytes, max_bytes: u64) -> Result<(), BodyFault> {
         self.received_bytes += data.len() as u64;
         self.last_progress_at = Instant::now();
@@ -157,10 +179,13 @@
                 self.buffered_bytes += data.len();
                 self.buffered_parts.push(data.clone());
             }
-            false => {
+            false if self.is_buffer_complete => {
+                self.buffered_parts.push(data.clone());
+                self.digest = Some(self.digest_buffer());
                 self.is_buffer_complete = false;
                 self.buffered_parts = Vec::new();
             }
+            false => {}
         }
         Ok(())
     }
--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -47,6 +47,11 @@
     io_error_kind(error) == Some(ErrorKind::TimedOut)
 }
 
+/// Whether the other end closed a connection on which it owed an answer, without any byte of one.
+pub fn is_closed_without_answer(error: &hyper::Error) -> bool {
+    !is_silent(error) && !error.is_parse() && !error.is_user()
+}
+
 /// Kind of the I/O error behind an error of the HTTP client; `None` if it has another cause.
 fn io_error_kind(error: &hyper::Error) -> Option<ErrorKind> {
     let source = error.source()?;
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use coordination::fleet::AttemptEnd;
+use coordination::fleet::RequestFingerprint;
+use coordination::fleet::RequestHead;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -15,6 +17,7 @@
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use spdlog::info;
 
 use crate::callers::AnswerBody;
 use crate::callers::BodyFault;
@@ -24,6 +27,7 @@
 use crate::callers::TargetPool;
 use crate::callers::full_body;
 use crate::callers::header_filter::remove_hop_by_hop;
+use crate::callers::is_closed_without_answer;
 use crate::callers::is_silent;
 use crate::entry::AttemptGuard;
 use crate::entry::RequestFacts;
@@ -41,6 +45,9 @@
 /// Margin before a target's own idle timeout within which a pooled connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Reason of an attempt whose target failed by itself, not because of the request's body.
+const TARGET_FAILED: &str = "target-failed";
+
 /// How an attempt ended. The strings are reasons told to callers, logs and metrics.
 pub enum AttemptResult {
     /// The target answered; the caller receives this response.
@@ -76,6 +83,24 @@
     pub fn dispatches(&self) -> u64 {
         self.dispatches.load(Ordering::Relaxed)
     }
+
+    /// Digest of everything by which the request is recognized but its body.
+    pub fn head_digest(&self) -> u64 {
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let head = RequestHead {
+            customer: self.facts.customer.as_deref(),
+            method: self.head.method.as_str(),
+            host: &self.facts.host,
+            path,
+        };
+        head.digest()
+    }
+
+    /// Fingerprint by which the request is recognized if it comes again; `None` until enough of its body was read.
+    pub fn fingerprint(&self) -> Option<RequestFingerprint> {
+        let body = self.upload.digest()?;
+        Some(RequestFingerprint { head: self.head_digest(), body })
+    }
 }
 
 /// Sends requests to targets over pooled connections.
@@ -156,7 +181,16 @@
                 if is_silent(error.error()) {
                     guard.record_connection(false);
                 }
-                SendResult::OutcomeUnknown(failure_reason(&request.upload))
+                let reason = failure_reason(&request.upload);
+                match request.fingerprint() {
+                    Some(fingerprint)
+                        if reason == TARGET_FAILED && is_closed_without_answer(error.error()) =>
+                    {
+                        log_closed_connection(request, guard, fingerprint);
+                    }
+                    _ => {}
+                }
+                SendResult::OutcomeUnknown(reason)
             }
         }
     }
@@ -252,6 +286,21 @@
     }
 }
 
+/// Logs a target that closed its connection while it may have run the request, as one that crashed does.
+fn log_closed_connection(
+    request: &OutgoingRequest,
+    guard: &AttemptGuard,
+    fingerprint: RequestFingerprint,
+) {
+    info!("target closed a connection without an answer", kv: {
+        request_id: = request.facts.attempt_id,
+        target: = guard.choice().target,
+        fingerprint:,
+        sent = request.dispatches(),
+        took_ms = guard.elapsed().as_millis() as u64
+    });
+}
+
 fn attempt_end(parts: &response::Parts, time: Duration) -> AttemptEnd {
     match parts.status.is_server_error() {
         true => AttemptEnd::Failed,
@@ -279,6 +328,6 @@
         Some(BodyFault::TooLarge) => "body-too-large",
         Some(BodyFault::Stalled) => "body-stalled",
         Some(_) => "body-cut",
-        None => "target-failed",
+        None => TARGET_FAILED,
     }
 }
--- a/crates/buckthornturn/src/entry/request_facts.rs
+++ b/crates/buckthornturn/src/entry/request_facts.rs
@@ -29,6 +29,8 @@
     /// Identifier of the caller's attempt, used in logs and to detect answers to other requests; empty if the caller
     /// sent none.
     pub attempt_id: Box<str>,
+    /// Host that the caller named.
+    pub host: Box<str>,
     /// Configuration that the request was checked against.
     pub configuration: Arc<EntryConfiguration>,
     /// Route that matches the request.
@@ -78,6 +80,7 @@
         let regions = settings.map_or(Vec::new(), |settings| settings.regions.clone());
         Ok(Self {
             attempt_id: facts.attempt_id.clone().unwrap_or_default(),
+            host,
             customer,
             object_hash: object_hash(&facts, &route),
             regions: common_regions(&route.regions, regions),
