--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod crashes;
 mod entry_fleet;
 mod limits;
 mod lost_links;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,13 +1,16 @@
 //! Stand-ins for the users' platform: its object store, and targets that use its headers.
 
+mod crash_tally;
 mod limit_ledger;
 mod platform_store;
 mod platform_target;
 
+pub use crash_tally::CrashTally;
 pub use limit_ledger::LimitLedger;
 pub use limit_ledger::LimitWindow;
 pub use platform_store::PlatformStore;
 pub use platform_store::StoreFault;
+pub use platform_target::CrashTrigger;
 pub use platform_target::PlatformTarget;
 pub use platform_target::RunRecord;
 pub use platform_target::TargetMode;
--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -18,12 +19,15 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 use crate::http_server::AnswerWithheld;
 use crate::http_server::HttpServer;
 use crate::http_server::ServerBody;
 use crate::http_server::ServerResult;
 use crate::http_server::whole_body;
+use crate::platform::CrashTally;
 use crate::platform::LimitLedger;
 use crate::platform::LimitWindow;
 
@@ -31,6 +35,9 @@
 const SENDER_HEADER: &str = "x-test-sender";
 
 const WORK_DURATION: Duration = Duration::from_millis(5);
+/// Time for which a target works on a request that crashes it, and for which it is gone afterwards.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+const CRASHED_TIME: Duration = Duration::from_millis(1_500);
 
 /// Behaviour of a target towards requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -65,11 +72,23 @@
     pub body_bytes: usize,
 }
 
+/// Request that crashes targets, and where they count it.
+#[derive(Clone, Debug)]
+pub struct CrashTrigger {
+    /// Path of the request, without a query.
+    pub path: Box<str>,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Counts of all targets that the request may reach.
+    pub tally: CrashTally,
+}
+
 /// Running stand-in for a target on the platform; dropping it stops the server.
 pub struct PlatformTarget {
     name: Box<str>,
     shared: Arc<Mutex<TargetShared>>,
-    server: HttpServer,
+    address: SocketAddr,
+    _server: JoinSet<()>,
 }
 
 #[derive(Debug, Default)]
@@ -78,6 +97,8 @@
     runs: Vec<RunRecord>,
     limit: Option<f64>,
     ledger: LimitLedger,
+    crash_trigger: Option<CrashTrigger>,
+    crashed: Arc<Notify>,
 }
 
 impl PlatformTarget {
@@ -93,13 +114,25 @@
             let (name, shared) = state.clone();
             async move { serve_within_limit(&name, &shared, request).await }
         };
-        let server = HttpServer::start(([127, 0, 0, 1], 0).into(), handler).await?;
-        Ok(Self { name: name.into(), shared, server })
+        let server = HttpServer::start(([127, 0, 0, 1], 0).into(), handler.clone()).await?;
+        let address = server.address;
+        let crashed = Arc::clone(&lock(&shared).crashed);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move {
+            let mut server = Some(server);
+            loop {
+                crashed.notified().await;
+                drop(server.take());
+                tokio::time::sleep(CRASHED_TIME).await;
+                server = HttpServer::start(address, handler.clone()).await.ok();
+            }
+        });
+        Ok(Self { name: name.into(), shared, address, _server: tasks })
     }
 
     /// Address that the server listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address
+        self.address
     }
 
     /// Entry that the target writes to the store to register itself.
@@ -129,6 +162,11 @@
         shared.ledger.start(Instant::now());
     }
 
+    /// Crashes under a request from now on: all connections are closed, and new ones are refused for some time.
+    pub fn set_crash_trigger(&self, trigger: CrashTrigger) {
+        lock(&self.shared).crash_trigger = Some(trigger);
+    }
+
     /// Busiest window of the requests that hosts sent although they knew of the limit, later than `settle_time` after
     /// `set_limit`. Senders are told apart by the header `x-test-sender`.
     pub fn busiest_window(&self, settle_time: Duration) -> LimitWindow {
@@ -170,6 +208,7 @@
     request: Request<Incoming>,
 ) -> ServerResult {
     let headers = request.headers().clone();
+    let path: Box<str> = request.uri().path().into();
     let attempt_id = header_text(&headers, "x-attempt-id");
     if mode == TargetMode::Silent {
         std::future::pending::<()>().await;
@@ -190,6 +229,7 @@
         ));
     }
     let body = request.into_body().collect().await.map_err(|_| AnswerWithheld)?.to_bytes();
+    crash_under(shared, &path, &body).await;
     lock(shared).runs.push(RunRecord {
         attempt_id: attempt_id.clone(),
         headers,
@@ -208,6 +248,25 @@
     }
 }
 
+/// Crashes the target if the request is the one that it crashes under; the future is dropped with the server then.
+async fn crash_under(shared: &Mutex<TargetShared>, path: &str, body: &Bytes) {
+    let (trigger, crashed) = {
+        let shared = lock(shared);
+        let trigger = shared.crash_trigger.clone();
+        (trigger, Arc::clone(&shared.crashed))
+    };
+    match trigger.filter(|trigger| *trigger.path == *path && trigger.body == body) {
+        None => {}
+        Some(trigger) => {
+            trigger.tally.record_arrival();
+            tokio::time::sleep(CRASH_DELAY).await;
+            trigger.tally.record_crash();
+            crashed.notify_one();
+            std::future::pending().await
+        }
+    }
+}
+
 fn build_answer(
     status: StatusCode,
     attempt_id: &str,
