--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -118,6 +118,27 @@
         self.lock().digest()
     }
 
+    /// Reads the body until its digest is known, and keeps what was read for the next connection. `None` if the body ends
+    /// early.
+    pub async fn read_digest(&self) -> Option<u64> {
+        std::future::poll_fn(|context| {
+            let mut state = self.lock();
+            loop {
+                if let Some(digest) = state.digest() {
+                    return Poll::Ready(Some(digest));
+                }
+                match std::task::ready!(state.poll_source(context, self.max_bytes, usize::MAX)) {
+                    Some(Ok(_)) | None => {}
+                    Some(Err(fault)) => {
+                        state.fault = Some(fault);
+                        return Poll::Ready(None);
+                    }
+                }
+            }
+        })
+        .await
+    }
+
     /// Time at which the end of the body was read; `None` if it was not read yet.
     pub fn finished_at(&self) -> Option<Instant> {
         self.lock().finished_at
@@ -165,7 +186,12 @@
         digest_body(self.buffered_parts.iter().map(|part| &**part), self.expected_bytes)
     }
 
-    fn record_data(&mut self, data: &Bytes, max_bytes: u64) -> Result<(), BodyFault> {
+    fn record_data(
+        &mut self,
+        data: &Bytes,
+        max_bytes: u64,
+        max_buffered_bytes: usize,
+    ) -> Result<(), BodyFault> {
         self.received_bytes += data.len() as u64;
         self.last_progress_at = Instant::now();
         if self.received_bytes > max_bytes {
@@ -174,7 +200,7 @@
         if self.expected_bytes == Some(self.received_bytes) {
             self.finished_at = Some(self.last_progress_at);
         }
-        match self.is_buffer_complete && self.buffered_bytes + data.len() <= MAX_BUFFERED_BYTES {
+        match self.is_buffer_complete && self.buffered_bytes + data.len() <= max_buffered_bytes {
             true => {
                 self.buffered_bytes += data.len();
                 self.buffered_parts.push(data.clone());
@@ -194,12 +220,15 @@
         &mut self,
         context: &mut Context<'_>,
         max_bytes: u64,
+        max_buffered_bytes: usize,
     ) -> Poll<Option<Result<Bytes, BodyFault>>> {
         loop {
             let frame = std::task::ready!(Pin::new(&mut self.source).poll_frame(context));
             return Poll::Ready(match frame {
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => Some(self.record_data(&data, max_bytes).map(|()| data)),
+                    Ok(data) => Some({
+                        self.record_data(&data, max_bytes, max_buffered_bytes).map(|()| data)
+                    }),
                     Err(_trailers) => continue,
                 },
                 Some(Err(error)) => {
@@ -241,7 +270,7 @@
         if state.finished_at.is_some() {
             return Poll::Ready(None);
         }
-        let polled = state.poll_source(context, upload.max_bytes);
+        let polled = state.poll_source(context, upload.max_bytes, MAX_BUFFERED_BYTES);
         if state.finished_at.is_some() {
             upload.finished.notify_one();
         }
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -46,7 +46,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Reason of an attempt whose target failed by itself, not because of the request's body.
-const TARGET_FAILED: &str = "target-failed";
+pub(super) const TARGET_FAILED: &str = "target-failed";
 
 /// How an attempt ended. The strings are reasons told to callers, logs and metrics.
 pub enum AttemptResult {
@@ -56,10 +56,27 @@
     NotRun(&'static str),
     /// No byte of the request left this host.
     NotSent(&'static str),
+    /// The target closed the connection without any byte of an answer to this request, as one that crashes does.
+    Closed(RequestFingerprint),
     /// The request may have run, but there is no answer that can be passed to the caller.
     OutcomeUnknown(StatusCode, &'static str),
 }
 
+impl AttemptResult {
+    /// Fingerprint of the request if the target closed the connection under it.
+    pub fn closed(&self) -> Option<RequestFingerprint> {
+        match self {
+            Self::Closed(fingerprint) => Some(*fingerprint),
+            _ => None,
+        }
+    }
+
+    /// Whether the target answered.
+    pub fn is_answered(&self) -> bool {
+        matches!(self, Self::Answered(_))
+    }
+}
+
 /// A checked request that is ready to be sent to targets.
 pub struct OutgoingRequest {
     /// Route, customer, deadline and priority of the request.
@@ -112,6 +129,7 @@
 enum SendResult {
     Answered(Response<Incoming>, TargetConnection),
     NotSent,
+    Closed(RequestFingerprint),
     OutcomeUnknown(&'static str),
 }
 
@@ -187,10 +205,10 @@
                         if reason == TARGET_FAILED && is_closed_without_answer(error.error()) =>
                     {
                         log_closed_connection(request, guard, fingerprint);
+                        SendResult::Closed(fingerprint)
                     }
-                    _ => {}
+                    _ => SendResult::OutcomeUnknown(reason),
                 }
-                SendResult::OutcomeUnknown(reason)
             }
         }
     }
@@ -208,6 +226,10 @@
                 guard.finish(AttemptEnd::Unreachable, None);
                 return AttemptResult::NotSent("target-closed");
             }
+            SendResult::Closed(fingerprint) => {
+                guard.finish(AttemptEnd::Failed, None);
+                return AttemptResult::Closed(fingerprint);
+            }
             SendResult::OutcomeUnknown(reason) => {
                 guard.finish(AttemptEnd::Failed, None);
                 return AttemptResult::OutcomeUnknown(StatusCode::BAD_GATEWAY, reason);
--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use coordination::fleet::BalancerHost;
+use coordination::fleet::CrashLedger;
 use coordination::fleet::EntryChange;
 use coordination::fleet::FleetBudget;
 use coordination::fleet::HostPhase;
@@ -44,6 +45,8 @@
     pub board: TargetBalancer,
     /// Whether this host can open connections to targets.
     pub reach: TargetReach,
+    /// Requests that crash targets.
+    pub crashes: CrashLedger,
     /// Quota tokens that this host holds or hands out, by customer.
     pub quotas: QuotaLedger,
     /// Hosts that hand out the customers' quota tokens, computed from the roster.
@@ -78,6 +81,7 @@
         Self {
             board: TargetBalancer::new(board_host, caller_share),
             reach: TargetReach::default(),
+            crashes: CrashLedger::default(),
             quotas: QuotaLedger::default(),
             keepers: QuotaKeepers::default(),
             roster: HostRoster::default(),
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -61,6 +61,7 @@
     targets: Gauge<u64, AtomicU64>,
     limited_targets: Gauge<u64, AtomicU64>,
     failing_targets: Gauge<u64, AtomicU64>,
+    crashing_requests: Gauge<u64, AtomicU64>,
     reaches_targets: Gauge<u64, AtomicU64>,
     ready: Gauge<u64, AtomicU64>,
     label_values: Mutex<IndexSet<Box<str>>>,
@@ -99,6 +100,7 @@
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
             failing_targets: Gauge::default(),
+            crashing_requests: Gauge::default(),
             reaches_targets: Gauge::default(),
             ready: Gauge::default(),
             label_values: Mutex::default(),
@@ -149,6 +151,7 @@
         let core = state.lock();
         self.limited_targets.set(core.board.limited_targets() as u64);
         self.failing_targets.set(core.board.failing_targets(Instant::now()) as u64);
+        self.crashing_requests.set(core.crashes.refused_requests() as u64);
         self.reaches_targets.set(u64::from(!core.reach.is_lost()));
         drop(core);
         let mut text = String::new();
@@ -177,6 +180,8 @@
         registry.register("limited_targets", limited, self.limited_targets.clone());
         let failing = "Targets avoided because they fail requests of this host or of others";
         registry.register("failing_targets", failing, self.failing_targets.clone());
+        let refused = "Requests that crashed several targets and are refused";
+        registry.register("crashing_requests", refused, self.crashing_requests.clone());
         let reaches = "Whether this host can open connections to targets";
         registry.register("reaches_targets", reaches, self.reaches_targets.clone());
         registry.register("ready", "Whether new callers are taken", self.ready.clone());
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -26,12 +26,13 @@
 use crate::callers::ConnectionServer;
 use crate::callers::ServerPhase;
 use crate::callers::TargetPool;
+use crate::entry::CrashReporter;
 use crate::entry::EntryState;
 use crate::entry::GossipLoop;
+use crate::entry::MeshClient;
 use crate::entry::PeerReader;
 use crate::entry::ProxyService;
 use crate::entry::StateFollower;
-use crate::entry::TokenClient;
 use crate::entry::answer_peer;
 use crate::entry::look_up_ttl;
 use crate::entry::peer_reader::status_response;
@@ -106,14 +107,8 @@
         let state = EntryState::new(identity, settings);
         let dialer = Arc::clone(&platform.dialer);
         let mut tasks = JoinSet::new();
-        for part in StatePart::ALL {
-            let peers = PeerReader::new(dialer.clone());
-            let source = Arc::clone(&platform.source);
-            tasks.spawn(StateFollower::new(Arc::clone(&state), source, peers, part).run());
-        }
-        let socket = Arc::new(socket);
-        let client = Arc::new(TokenClient::new(Arc::clone(&socket)));
-        tasks.spawn(GossipLoop::new(Arc::clone(&state), socket, Arc::clone(&client), seeds).run());
+        spawn_followers(&mut tasks, &state, &platform);
+        let (client, reporter) = spawn_gossip(&mut tasks, &state, Arc::new(socket), seeds);
         tasks.spawn(serve_mesh(mesh_listener, Arc::clone(&state)));
         tasks.spawn(serve_look_ups(look_ups, Arc::clone(&state), Arc::clone(&platform.dialect)));
         tasks.spawn(serve_readiness(readiness, Arc::clone(&state), Arc::clone(&platform.dialect)));
@@ -124,7 +119,7 @@
         let phase = watch::Sender::new(ServerPhase::Serving);
         let pool = TargetPool::new(dialer);
         tasks.spawn(try_lost_targets(Arc::clone(&state), pool.clone()));
-        let proxy = ProxyService::new(Arc::clone(&state), platform.dialect, pool, client);
+        let proxy = ProxyService::new(Arc::clone(&state), platform.dialect, pool, client, reporter);
         let callers = serve_callers(callers_listener, proxy, phase.subscribe());
         info!("host started", kv: {
             host: = state.identity().host,
@@ -163,6 +158,30 @@
     }
 }
 
+fn spawn_followers(tasks: &mut JoinSet<()>, state: &Arc<EntryState>, platform: &HostPlatform) {
+    for part in StatePart::ALL {
+        let peers = PeerReader::new(Arc::clone(&platform.dialer));
+        let source = Arc::clone(&platform.source);
+        tasks.spawn(StateFollower::new(Arc::clone(state), source, peers, part).run());
+    }
+}
+
+/// Starts the exchange of datagrams, and returns the parts that send some themselves.
+fn spawn_gossip(
+    tasks: &mut JoinSet<()>,
+    state: &Arc<EntryState>,
+    socket: Arc<UdpSocket>,
+    seeds: Vec<SocketAddr>,
+) -> (Arc<MeshClient>, Arc<CrashReporter>) {
+    let client = Arc::new(MeshClient::new(Arc::clone(&socket)));
+    let reporter = CrashReporter::new(Arc::clone(state), Arc::clone(&socket), Arc::clone(&client));
+    let reporter = Arc::new(reporter);
+    let (gossip_client, gossip_reporter) = (Arc::clone(&client), Arc::clone(&reporter));
+    let gossip = GossipLoop::new(Arc::clone(state), socket, gossip_client, gossip_reporter, seeds);
+    tasks.spawn(gossip.run());
+    (client, reporter)
+}
+
 fn serve_callers(
     listener: TcpListener,
     proxy: ProxyService,
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -305,6 +305,7 @@
         core.update_outage(now);
         core.remove_expired_targets(now);
         core.roster.prune(now);
+        core.crashes.prune(now);
         self.rebalance(&mut core, now);
         self.update_placement(&mut core, now);
     }
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -1,4 +1,4 @@
-//! Exchanges datagrams with other hosts: gossiped heartbeats, and requests for customers' quota tokens.
+//! Exchanges datagrams with other hosts: gossiped heartbeats, questions to keepers, and reports of crashes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,8 +13,10 @@
 use spdlog::warn;
 use tokio::net::UdpSocket;
 
+use crate::entry::CrashReporter;
 use crate::entry::EntryState;
-use crate::entry::TokenClient;
+use crate::entry::MeshAnswer;
+use crate::entry::MeshClient;
 use crate::entry::attempt_guard::log_limit_change;
 use crate::entry::mesh_datagram::HeartbeatMessage;
 use crate::entry::mesh_datagram::MeshDatagram;
@@ -34,7 +36,8 @@
 pub struct GossipLoop {
     state: Arc<EntryState>,
     socket: Arc<UdpSocket>,
-    token_client: Arc<TokenClient>,
+    client: Arc<MeshClient>,
+    reporter: Arc<CrashReporter>,
     seeds: Vec<SocketAddr>,
 }
 
@@ -43,10 +46,11 @@
     pub fn new(
         state: Arc<EntryState>,
         socket: Arc<UdpSocket>,
-        token_client: Arc<TokenClient>,
+        client: Arc<MeshClient>,
+        reporter: Arc<CrashReporter>,
         seeds: Vec<SocketAddr>,
     ) -> Self {
-        Self { state, socket, token_client, seeds }
+        Self { state, socket, client, reporter, seeds }
     }
 
     /// Runs until the future is dropped.
@@ -121,12 +125,14 @@
             false => core.board.failure_reports(now),
         };
         let limits = core.board.limit_reports(now);
+        let crashes = core.crashes.reports(now);
         MeshDatagram::Heartbeat(Box::new(HeartbeatMessage {
             own,
             others,
             seen,
             failing,
             limits,
+            crashes,
             asks,
         }))
     }
@@ -140,7 +146,14 @@
                 MeshDatagram::TokenGrant { number, grant }.send(&self.socket, [sender]).await;
             }
             Ok(MeshDatagram::TokenGrant { number, grant }) => {
-                self.token_client.receive_grant(number, grant)
+                self.client.receive_answer(number, MeshAnswer::Tokens(grant))
+            }
+            Ok(MeshDatagram::Crashes(reports)) => self.reporter.receive_reports(&reports).await,
+            Ok(MeshDatagram::TrialAsk { number, report }) => {
+                self.reporter.answer_trial(number, report, sender).await;
+            }
+            Ok(MeshDatagram::TrialGrant { number, grant }) => {
+                self.client.receive_answer(number, MeshAnswer::Trial(grant))
             }
             Err(error) => {
                 warn!("received a datagram that cannot be decoded", kv: { sender:, reason: = error })
@@ -178,6 +191,7 @@
             }
             !is_known
         };
+        self.reporter.receive_reports(&message.crashes).await;
         if is_new_host || asks {
             let max_others = if asks { INTRODUCED_HOSTS } else { MAX_PIGGYBACKED_HOSTS };
             self.heartbeat(max_others, false).send(&self.socket, [receiver]).await;
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 
+use coordination::fleet::CrashReport;
 use coordination::fleet::FailureReport;
 use coordination::fleet::HostHeartbeat;
 use coordination::fleet::LimitReport;
 use coordination::fleet::LivenessDigest;
 use coordination::fleet::TokenGrant;
+use coordination::fleet::TrialGrant;
 use coordination::ids::CustomerId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +38,22 @@
         /// Tokens granted, or why there are none.
         grant: TokenGrant,
     },
+    /// Crashes under requests, for their keepers or from them.
+    Crashes(Vec<CrashReport>),
+    /// Question to the keeper of a request that crashed targets, whether the sender may try it.
+    TrialAsk {
+        /// Number of the question, which the answer repeats.
+        number: u64,
+        /// What the sender knows of the request.
+        report: CrashReport,
+    },
+    /// Answer of the keeper to a host that wants to try a request.
+    TrialGrant {
+        /// Number of the question that is answered.
+        number: u64,
+        /// Whether the host may send the request.
+        grant: TrialGrant,
+    },
 }
 
 /// Heartbeat of a host, with piggybacked heartbeats of others.
@@ -53,6 +71,9 @@
     /// Limits that targets stated to any host.
     #[serde(default)]
     pub limits: Vec<LimitReport>,
+    /// Requests that crashed several targets, and those that were answered since.
+    #[serde(default)]
+    pub crashes: Vec<CrashReport>,
     /// Whether the sender asks for a heartbeat in return because it has not joined the fleet yet.
     pub asks: bool,
 }
@@ -61,8 +82,8 @@
     /// A heartbeat with the state of the sender alone.
     pub fn without_news(own: HostHeartbeat) -> Self {
         let (others, seen) = (Vec::new(), Vec::new());
-        let (failing, limits) = (Vec::new(), Vec::new());
-        Self { own, others, seen, failing, limits, asks: false }
+        let (failing, limits, crashes) = (Vec::new(), Vec::new(), Vec::new());
+        Self { own, others, seen, failing, limits, crashes, asks: false }
     }
 }
 
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -30,12 +30,14 @@
 use crate::entry::AttemptGuard;
 use crate::entry::AttemptResult;
 use crate::entry::AttemptRunner;
+use crate::entry::CrashReporter;
 use crate::entry::EntryState;
+use crate::entry::MeshClient;
 use crate::entry::OutgoingRequest;
 use crate::entry::PeerForwarder;
 use crate::entry::RequestFacts;
-use crate::entry::TokenClient;
 use crate::entry::UNREACHABLE_REASON;
+use crate::entry::attempt_runner::TARGET_FAILED;
 use crate::entry::mark_refused;
 use crate::entry::request_facts::requests_upgrade;
 use crate::entry::request_record::RequestRecord;
@@ -61,21 +63,23 @@
     dialect: Arc<dyn CallerDialect>,
     runner: AttemptRunner,
     pub(super) forwarder: PeerForwarder,
-    token_client: Arc<TokenClient>,
+    client: Arc<MeshClient>,
+    pub(super) reporter: Arc<CrashReporter>,
 }
 
 impl ProxyService {
-    /// Creates the service over the host's state. Requests go out over `pool`, and tokens are requested through
-    /// `token_client`.
+    /// Creates the service over the host's state. Requests go out over `pool`, other hosts are asked through
+    /// `client`, and told of crashes through `reporter`.
     pub fn new(
         state: Arc<EntryState>,
         dialect: Arc<dyn CallerDialect>,
         pool: TargetPool,
-        token_client: Arc<TokenClient>,
+        client: Arc<MeshClient>,
+        reporter: Arc<CrashReporter>,
     ) -> Self {
         let runner = AttemptRunner::new(pool.clone(), Arc::clone(&dialect));
         let forwarder = PeerForwarder::new(Arc::clone(&state), Arc::clone(&dialect), pool);
-        Self { state, dialect, runner, forwarder, token_client }
+        Self { state, dialect, runner, forwarder, client, reporter }
     }
 
     /// Serves one request and logs its end. The answer is the target's, or a refusal with its reason.
@@ -187,9 +191,7 @@
             QuotaDecision::Refused { wait } => Err(wait),
             QuotaDecision::AskKeeper { tokens } => {
                 let grant = match keeper {
-                    Some(keeper) => {
-                        self.token_client.request_tokens(keeper, customer, tokens).await
-                    }
+                    Some(keeper) => self.client.request_tokens(keeper, customer, tokens).await,
                     None => None,
                 };
                 record.tokens = token_source(grant);
@@ -228,32 +230,22 @@
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unknown_outcome: Option<Refusal> = None;
         loop {
-            if self.state.lock().reach.is_lost() {
-                return Err(
-                    unknown_outcome.unwrap_or_else(|| unavailable_refusal(UNREACHABLE_REASON))
-                );
-            }
-            let choice = match self.choose_target(request, service, &tried) {
-                Ok(choice) => choice,
-                Err(refusal) => {
-                    record.set_refusal(refusal);
-                    return Err(unknown_outcome.unwrap_or_else(|| self.placement_refusal(refusal)));
-                }
-            };
-            record.set_choice(&choice);
-            tried.push(choice.target.clone());
-            let guard = AttemptGuard::new(
-                Arc::clone(&self.state),
-                choice,
-                request.facts.route.name.clone(),
-            );
-            let reason = match self.runner.run(request, guard).await {
-                AttemptResult::Answered(response) => return Ok(response),
-                AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason) => reason,
-                AttemptResult::OutcomeUnknown(status, reason) => {
+            let reason = match self.try_target(request, service, &mut tried, record).await {
+                Err(refusal) => return Err(unknown_outcome.unwrap_or(refusal)),
+                Ok(AttemptResult::Answered(response)) => return Ok(response),
+                Ok(AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason)) => reason,
+                Ok(AttemptResult::OutcomeUnknown(status, reason)) => {
                     unknown_outcome = Some(Refusal::unknown(status, reason));
                     reason
                 }
+                Ok(AttemptResult::Closed(fingerprint)) => {
+                    let unknown = Refusal::unknown(StatusCode::BAD_GATEWAY, TARGET_FAILED);
+                    if !self.may_repeat_after_crash(fingerprint) {
+                        return Err(unknown);
+                    }
+                    unknown_outcome = Some(unknown);
+                    TARGET_FAILED
+                }
             };
             if let Some(end) =
                 self.reason_to_stop(request, service, &tried, unknown_outcome.as_ref(), reason)
@@ -263,6 +255,40 @@
         }
     }
 
+    /// Chooses a target that is not among `tried`, and sends the request to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request that is sent to no target now.
+    async fn try_target(
+        &self,
+        request: &OutgoingRequest,
+        service: &ServiceId,
+        tried: &mut Vec<TargetId>,
+        record: &mut RequestRecord,
+    ) -> Result<AttemptResult, Refusal> {
+        if self.state.lock().reach.is_lost() {
+            return Err(unavailable_refusal(UNREACHABLE_REASON));
+        }
+        let suspect = self.check_crashes(request).await?;
+        let choice = self.choose_target(request, service, tried).map_err(|refusal| {
+            record.set_refusal(refusal);
+            self.placement_refusal(refusal)
+        })?;
+        record.set_choice(&choice);
+        let target = choice.target.clone();
+        tried.push(target.clone());
+        let route = request.facts.route.name.clone();
+        let guard = AttemptGuard::new(Arc::clone(&self.state), choice, route);
+        if let Some(fingerprint) = suspect {
+            self.take_trial(fingerprint).await?;
+        }
+        let result = self.runner.run(request, guard).await;
+        let (closed, answered) = (result.closed(), suspect.filter(|_| result.is_answered()));
+        self.report_end(closed, answered, &target).await;
+        Ok(result)
+    }
+
     /// Refusal for the caller after an attempt without an answer; `None` if the request may be sent to a further target.
     fn reason_to_stop(
         &self,
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt_recording;
 mod candidate_scoring;
+mod crash_ledger;
 mod customer_share;
 mod failure_estimate;
 mod failure_reports;
@@ -30,6 +31,12 @@
 mod target_reach;
 mod warm_keys;
 
+pub use crash_ledger::CrashChange;
+pub use crash_ledger::CrashLedger;
+pub use crash_ledger::CrashReport;
+pub use crash_ledger::CrashVerdict;
+pub use crash_ledger::TrialGrant;
+pub use crash_ledger::select_crash_keepers;
 pub use customer_share::share_of_limit;
 pub use failure_estimate::FailureEstimate;
 pub use failure_reports::FailureReport;
