Log: requests that targets turn away, with the pause that they ask for

A request's line names only the target tried last, and no line named a pause, so that a pause that no host reads and one that is kept late looked alike. The header is decoded in platform/; no decision changes.

--- a/crates/buckthornturn/src/entry/attempt_guard.rs
+++ b/crates/buckthornturn/src/entry/attempt_guard.rs
@@ -64,6 +64,20 @@
         }
     }
 
+    /// Logs that the target refused the request and for how long it wants no other one.
+    pub fn log_refusal(&self, facts: &AnswerHeaders) {
+        let target = &self.choice.target;
+        info!("target turns a request away", kv: {
+            target:, pause_ms = facts.pause.unwrap_or_default().as_millis() as u64
+        });
+        if let Some(value) = facts.unreadable_pause.as_deref() {
+            let is_warned = self.state.lock().warnings.take(target, Instant::now());
+            if is_warned {
+                warn!("target asks for a pause that is no number of seconds", kv: { target:, value: });
+            }
+        }
+    }
+
     /// Reports the end of the attempt, and the load that the target stated in its answer, if any. Only the first call
     /// counts.
     pub fn finish(&mut self, end: AttemptEnd, load: Option<TargetLoad>) {
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -269,6 +269,9 @@
             true => (AttemptEnd::Replaced, "target-replaced"),
             false => (AttemptEnd::Shed, "target-shed"),
         };
+        if end == AttemptEnd::Shed {
+            guard.log_refusal(facts);
+        }
         guard.finish(end, facts.load);
         if let Ok(BufferedBody::Complete(_)) = buffer_body(body).await {
             self.pool.return_connection(key, connection, idle_limit(facts));
--- a/crates/buckthornturn/src/interface/caller_dialect.rs
+++ b/crates/buckthornturn/src/interface/caller_dialect.rs
@@ -52,6 +52,10 @@
     pub limit: Option<f64>,
     /// Value of a limit that is not a number of requests a second; the answer then counts as one without a limit.
     pub unreadable_limit: Option<Box<str>>,
+    /// Time for which the target wants no request from this host; `None` if it did not refuse a request or states none.
+    pub pause: Option<Duration>,
+    /// Value of a pause that is not a number of seconds; the answer then counts as one without a pause.
+    pub unreadable_pause: Option<Box<str>>,
     /// Time after which the target closes an idle connection; `None` if the answer does not state it.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -151,6 +151,13 @@
         AnswerHeaders { limit: Some(3.75), ..AnswerHeaders::default() };
     a_negative_limit_counts_as_none: 503, [("server-limit", "-1")] =>
         AnswerHeaders { unreadable_limit: Some("-1".into()), ..AnswerHeaders::default() };
+    a_pause_is_parsed: 503, [("retry-after", "2.5")] =>
+        AnswerHeaders { pause: Some(Duration::from_millis(2_500)), ..AnswerHeaders::default() };
+    a_pause_without_a_refusal_is_ignored: 200, [("retry-after", "2")] => AnswerHeaders::default();
+    a_negative_pause_counts_as_none: 503, [("retry-after", "-1")] =>
+        AnswerHeaders { unreadable_pause: Some("-1".into()), ..AnswerHeaders::default() };
+    a_pause_given_as_a_date_counts_as_none: 503, [("retry-after", "Fri, 04 Dec 2026 11:00:00 GMT")] =>
+        AnswerHeaders { unreadable_pause: Some("Fri, 04 Dec 2026 11:00:00 GMT".into()), ..AnswerHeaders::default() };
     an_endless_limit_counts_as_none: 200, [("server-limit", "inf")] =>
         AnswerHeaders { unreadable_limit: Some("inf".into()), ..AnswerHeaders::default() };
     an_idle_timeout_is_parsed: 200, [("keep-alive", "max=5, timeout=7")] =>
--- a/crates/buckthornturn/src/platform/wire_dialect.rs
+++ b/crates/buckthornturn/src/platform/wire_dialect.rs
@@ -40,6 +40,8 @@
 const LOAD_HEADER: HeaderName = HeaderName::from_static("x-server-load");
 /// Requests a second, as a decimal number, that a target takes from all hosts together.
 const LIMIT_HEADER: HeaderName = HeaderName::from_static("server-limit");
+/// Seconds, as a decimal number, for which a target that turned a request away wants none from the host that sent it.
+const PAUSE_HEADER: HeaderName = http::header::RETRY_AFTER;
 /// Its `timeout` parameter has the seconds for which a target keeps an idle connection open.
 const KEEP_ALIVE_HEADER: HeaderName = HeaderName::from_static("keep-alive");
 const LOOK_UP_PATH: &str = "/resolve";
@@ -79,6 +81,9 @@
         let headers = &answer.headers;
         let limit = headers.get(&LIMIT_HEADER);
         let rate = limit.and_then(parse_limit);
+        let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        let stated_pause = headers.get(&PAUSE_HEADER).filter(|_| is_refused);
+        let pause = stated_pause.and_then(parse_pause);
         AnswerHeaders {
             attempt_id: header_text(headers, &ATTEMPT_ID_HEADER),
             is_signed: headers.contains_key(&SIGNATURE_HEADER),
@@ -89,6 +94,10 @@
             unreadable_limit: limit
                 .filter(|_| rate.is_none())
                 .map(|value| String::from_utf8_lossy(value.as_bytes()).into()),
+            pause,
+            unreadable_pause: stated_pause
+                .filter(|_| pause.is_none())
+                .map(|value| String::from_utf8_lossy(value.as_bytes()).into()),
             idle_timeout: header_text(headers, &KEEP_ALIVE_HEADER)
                 .and_then(|value| parse_idle_timeout(&value)),
         }
@@ -145,6 +154,12 @@
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
 
+/// Parses a pause in seconds; `None` if it is no finite number of at least 0.
+fn parse_pause(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Parses the `timeout=SECONDS` parameter of a `keep-alive` header; `None` if it is missing or invalid.
 fn parse_idle_timeout(value: &str) -> Option<Duration> {
     let mut parameters = value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
