--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use buckthornturn::document::EntryDocument;
 use buckthornturn::entry::EntryProcess;
@@ -16,6 +17,7 @@
 use buckthornturn::platform::WireDialect;
 use buckthornturn::settings::EntrySettings;
 use bytes::Bytes;
+use futures::future::join_all;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -141,6 +143,27 @@
         send(self.ports[host].callers, call.request()).await
     }
 
+    /// Sends repeatable requests for many objects to the hosts in turn at a fixed pace. Returns how long each took and its
+    /// answer, in order.
+    pub async fn send_pages(
+        &self,
+        time: Duration,
+        pause: Duration,
+    ) -> Vec<(Duration, Option<Response<Bytes>>)> {
+        let count = (time.as_millis() / pause.as_millis()) as u32;
+        let requests = (0..count).map(|number| async move {
+            tokio::time::sleep(pause * number).await;
+            let host = number as usize % self.hosts.len();
+            let request = CallerRequest::page()
+                .with_header("x-affinity-key", &number.to_string())
+                .with_header("x-test-sender", &host.to_string());
+            let started_at = Instant::now();
+            let answer = self.try_send_request(host, request).await;
+            (started_at.elapsed(), answer)
+        });
+        join_all(requests).await
+    }
+
     /// Cuts the links between a host and all targets.
     pub fn cut_host(&self, host: usize, cut: LinkCut) {
         self.links.cut_link(&host_links(host), TARGET_LINKS, cut);
--- a/crates/buckthornturn/tests/platform/limits.rs
+++ b/crates/buckthornturn/tests/platform/limits.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use futures::future::join_all;
+use bytes::Bytes;
+use http::Response;
 
-use crate::entry_fleet::CallerRequest;
 use crate::entry_fleet::EntryFleet;
 
 /// Time from the first statement of a limit until it binds.
@@ -45,19 +45,10 @@
     a_service_whose_targets_all_have_limits_keeps_them: 4 hosts, 3 targets, 3 limited to 5.0;
 }
 
-/// Sends repeatable requests for many objects to the hosts in turn at a fixed pace, and returns the share of them that was
-/// answered.
+/// Sends repeatable requests for many objects, and returns the share of them that was answered.
 async fn send_load(fleet: &EntryFleet) -> f64 {
-    let count = (LOAD_TIME.as_millis() / REQUEST_PAUSE.as_millis()) as u32;
-    let requests = (0..count).map(|number| async move {
-        tokio::time::sleep(REQUEST_PAUSE * number).await;
-        let host = number as usize % fleet.hosts.len();
-        let request = CallerRequest::page()
-            .with_header("x-affinity-key", &number.to_string())
-            .with_header("x-test-sender", &host.to_string());
-        let answer = fleet.try_send_request(host, request).await;
-        answer.is_some_and(|answer| answer.status() == 200)
-    });
-    let results = join_all(requests).await;
-    results.iter().filter(|is_answered| **is_answered).count() as f64 / results.len() as f64
+    let results = fleet.send_pages(LOAD_TIME, REQUEST_PAUSE).await;
+    let is_answered = |answer: &&Response<Bytes>| answer.status() == 200;
+    let answered = results.iter().filter_map(|(_, answer)| answer.as_ref()).filter(is_answered);
+    answered.count() as f64 / results.len() as f64
 }
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -6,5 +6,6 @@
 mod entry_fleet;
 mod limits;
 mod lost_links;
+mod pauses;
 mod requests;
 mod state;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -2,12 +2,15 @@
 
 mod crash_tally;
 mod limit_ledger;
+mod pause_ledger;
 mod platform_store;
 mod platform_target;
 
 pub use crash_tally::CrashTally;
 pub use limit_ledger::LimitLedger;
 pub use limit_ledger::LimitWindow;
+pub use pause_ledger::BusiestPause;
+pub use pause_ledger::PauseLedger;
 pub use platform_store::PlatformStore;
 pub use platform_store::StoreFault;
 pub use platform_target::CrashTrigger;
--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -27,9 +27,11 @@
 use crate::http_server::ServerBody;
 use crate::http_server::ServerResult;
 use crate::http_server::whole_body;
+use crate::platform::BusiestPause;
 use crate::platform::CrashTally;
 use crate::platform::LimitLedger;
 use crate::platform::LimitWindow;
+use crate::platform::PauseLedger;
 
 /// Header by which a caller names the host that it sends a request to, so that a target can tell hosts apart.
 const SENDER_HEADER: &str = "x-test-sender";
@@ -97,6 +99,9 @@
     runs: Vec<RunRecord>,
     limit: Option<f64>,
     ledger: LimitLedger,
+    work: Option<(Duration, u32)>,
+    pause: Option<Duration>,
+    pauses: PauseLedger,
     crash_trigger: Option<CrashTrigger>,
     crashed: Arc<Notify>,
 }
@@ -112,7 +117,7 @@
         let state = (Box::<str>::from(name), Arc::clone(&shared));
         let handler = move |request: Request<Incoming>| {
             let (name, shared) = state.clone();
-            async move { serve_within_limit(&name, &shared, request).await }
+            async move { serve_and_count(&name, &shared, request).await }
         };
         let server = HttpServer::start(([127, 0, 0, 1], 0).into(), handler.clone()).await?;
         let address = server.address;
@@ -162,6 +167,21 @@
         shared.ledger.start(Instant::now());
     }
 
+    /// Takes a time for each request from now on, and states so many waiting requests beside four running ones.
+    pub fn set_work(&self, time: Duration, waiting: u32) {
+        lock(&self.shared).work = Some((time, waiting));
+    }
+
+    /// Turns all requests away from now on and asks their senders for a pause, or none.
+    pub fn set_pause(&self, pause: Option<Duration>) {
+        lock(&self.shared).pause = pause;
+    }
+
+    /// Pause within which a host sent most requests. Senders are told apart by the header `x-test-sender`.
+    pub fn busiest_pause(&self) -> BusiestPause {
+        lock(&self.shared).pauses.busiest_pause()
+    }
+
     /// Crashes under a request from now on: all connections are closed, and new ones are refused for some time.
     pub fn set_crash_trigger(&self, trigger: CrashTrigger) {
         lock(&self.shared).crash_trigger = Some(trigger);
@@ -180,20 +200,29 @@
     }
 }
 
-/// Serves a request, states the limit in the answer, and counts both.
-async fn serve_within_limit(
+/// Serves a request, states the limit or the pause in the answer, and counts all of them.
+async fn serve_and_count(
     name: &str,
     shared: &Mutex<TargetShared>,
     request: Request<Incoming>,
 ) -> ServerResult {
     let sender = header_text(request.headers(), SENDER_HEADER);
-    let mode = {
+    let (mode, pause) = {
         let mut shared = lock(shared);
         shared.ledger.record_arrival(&sender, Instant::now());
-        shared.mode
+        shared.pauses.record_arrival(&sender, Instant::now());
+        match shared.pause {
+            Some(pause) => (TargetMode::Sheds, Some(pause)),
+            None => (shared.mode, None),
+        }
     };
     let mut answer = serve(name, mode, shared, request).await?;
     let mut shared = lock(shared);
+    if let Some(pause) = pause {
+        answer.headers_mut().insert("retry-after", header_number(pause.as_secs_f64()));
+        answer.headers_mut().insert("x-server-load", HeaderValue::from_static("0,0,4"));
+        shared.pauses.record_pause(&sender, pause, Instant::now());
+    }
     if let Some(limit) = shared.limit {
         answer.headers_mut().insert("server-limit", header_number(limit));
         shared.ledger.record_answer(&sender, Instant::now());
@@ -235,9 +264,10 @@
         headers,
         body_bytes: body.len(),
     });
-    tokio::time::sleep(WORK_DURATION).await;
+    let work = lock(shared).work;
+    tokio::time::sleep(work.map_or(WORK_DURATION, |(time, _)| time)).await;
     let signed = [("x-server-signature", "s"), ("x-server-load", "1,0,4")];
-    match mode {
+    let mut answer = match mode {
         TargetMode::LosesAnswers => Err(AnswerWithheld),
         TargetMode::CrossesAnswers => Ok(build_answer(StatusCode::OK, "another", &signed)),
         TargetMode::Unsigned => Ok(build_answer(StatusCode::OK, &attempt_id, &[])),
@@ -245,7 +275,14 @@
             Ok(build_answer(StatusCode::INTERNAL_SERVER_ERROR, &attempt_id, &signed))
         }
         _ => Ok(build_answer(StatusCode::OK, &attempt_id, &signed)),
+    };
+    if let Some((_, waiting)) = work
+        && let Ok(answer) = &mut answer
+        && let Ok(load) = HeaderValue::from_str(&format!("4,{waiting},4"))
+    {
+        answer.headers_mut().insert("x-server-load", load);
     }
+    answer
 }
 
 /// Crashes the target if the request is the one that it crashes under; the future is dropped with the server then.
