Hosts keep the pause that a target asks for, and share what they heard of it (BUDGET)

Cause: no host read the pause; a target counted as full for 150 ms after a refusal. Class: an answer that says more than its status is taken for a status. Change: the pause binds the host that was asked, also for requests placed before and over an entry that goes missing, for an hour at most. It goes with heartbeats as a hint: all but two hosts leave the target until one of them is answered. If all targets pause, callers are refused at once with the end of the earliest pause.

--- a/crates/buckthornturn/src/entry/attempt_guard.rs
+++ b/crates/buckthornturn/src/entry/attempt_guard.rs
@@ -50,12 +50,23 @@
         self.started_at.elapsed()
     }
 
-    /// Records what an answer of the target states about its limit, and logs a limit that is new, lifted or unreadable.
-    pub fn record_limit(&self, facts: &AnswerHeaders) {
+    /// Whether the request may still go to the target, which may have asked for a pause since it was chosen.
+    pub fn may_send(&self) -> bool {
+        self.state.lock().board.may_still_send(&self.choice.target, Instant::now())
+    }
+
+    /// Records what an answer of the target states about its limit and about a pause, and logs a limit that is new, lifted
+    /// or unreadable.
+    pub fn record_statements(&self, facts: &AnswerHeaders) {
         let target = &self.choice.target;
         let now = Instant::now();
         let mut core = self.state.lock();
         let change = core.board.record_limit(target, facts.limit, now);
+        match facts.pause {
+            Some(pause) => core.board.record_pause(target, pause, now),
+            None if !facts.is_not_run => core.board.record_pause_end(target, now),
+            None => {}
+        }
         let is_warned = facts.unreadable_limit.is_some() && core.warnings.take(target, now);
         drop(core);
         log_limit_change(target, facts.limit, change);
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -48,6 +48,9 @@
 /// Reason of an attempt whose target failed by itself, not because of the request's body.
 pub(super) const TARGET_FAILED: &str = "target-failed";
 
+/// Reason of refusals because of targets that asked for a pause.
+pub(super) const PAUSED_REASON: &str = "target-pauses";
+
 /// How an attempt ended. The strings are reasons told to callers, logs and metrics.
 pub enum AttemptResult {
     /// The target answered; the caller receives this response.
@@ -129,6 +132,8 @@
 enum SendResult {
     Answered(Response<Incoming>, TargetConnection),
     NotSent,
+    /// The target asked for a pause after it had been chosen.
+    Withheld,
     Closed(RequestFingerprint),
     OutcomeUnknown(&'static str),
 }
@@ -178,6 +183,9 @@
         guard: &AttemptGuard,
         mut connection: TargetConnection,
     ) -> SendResult {
+        if !guard.may_send() {
+            return SendResult::Withheld;
+        }
         let mut head = request.head.clone();
         let time_left =
             request.facts.caller_timeout.saturating_sub(request.facts.arrived_at.elapsed());
@@ -226,6 +234,10 @@
                 guard.finish(AttemptEnd::Unreachable, None);
                 return AttemptResult::NotSent("target-closed");
             }
+            SendResult::Withheld => {
+                guard.finish(AttemptEnd::Abandoned { time: Duration::ZERO }, None);
+                return AttemptResult::NotSent(PAUSED_REASON);
+            }
             SendResult::Closed(fingerprint) => {
                 guard.finish(AttemptEnd::Failed, None);
                 return AttemptResult::Closed(fingerprint);
@@ -245,7 +257,7 @@
             return AttemptResult::OutcomeUnknown(StatusCode::BAD_GATEWAY, "answer-crossed");
         }
         if !facts.is_wrong_target {
-            guard.record_limit(&facts);
+            guard.record_statements(&facts);
         }
         if facts.is_wrong_target || facts.is_not_run {
             return self.finish_not_run(guard, key, connection, &facts, body).await;
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -60,6 +60,7 @@
     hosts: Gauge<u64, AtomicU64>,
     targets: Gauge<u64, AtomicU64>,
     limited_targets: Gauge<u64, AtomicU64>,
+    paused_targets: Gauge<u64, AtomicU64>,
     failing_targets: Gauge<u64, AtomicU64>,
     crashing_requests: Gauge<u64, AtomicU64>,
     reaches_targets: Gauge<u64, AtomicU64>,
@@ -99,6 +100,7 @@
             hosts: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            paused_targets: Gauge::default(),
             failing_targets: Gauge::default(),
             crashing_requests: Gauge::default(),
             reaches_targets: Gauge::default(),
@@ -150,6 +152,7 @@
         self.targets.set(targets);
         let core = state.lock();
         self.limited_targets.set(core.board.limited_targets() as u64);
+        self.paused_targets.set(core.board.paused_targets(Instant::now()) as u64);
         self.failing_targets.set(core.board.failing_targets(Instant::now()) as u64);
         self.crashing_requests.set(core.crashes.refused_requests() as u64);
         self.reaches_targets.set(u64::from(!core.reach.is_lost()));
@@ -178,6 +181,8 @@
         registry.register("known_targets", "Targets known", self.targets.clone());
         let limited = "Targets that state a limit over the requests of all hosts";
         registry.register("limited_targets", limited, self.limited_targets.clone());
+        let paused = "Targets that get no requests of this host because they asked for a pause";
+        registry.register("paused_targets", paused, self.paused_targets.clone());
         let failing = "Targets avoided because they fail requests of this host or of others";
         registry.register("failing_targets", failing, self.failing_targets.clone());
         let refused = "Requests that crashed several targets and are refused";
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -125,6 +125,7 @@
             false => core.board.failure_reports(now),
         };
         let limits = core.board.limit_reports(now);
+        let pauses = core.board.pause_reports(now);
         let crashes = core.crashes.reports(now);
         MeshDatagram::Heartbeat(Box::new(HeartbeatMessage {
             own,
@@ -132,6 +133,7 @@
             seen,
             failing,
             limits,
+            pauses,
             crashes,
             asks,
         }))
@@ -186,6 +188,7 @@
             for (report, change) in core.board.merge_limit_reports(&message.limits, now) {
                 log_limit_change(&report.target, report.rate, change);
             }
+            core.board.merge_pause_reports(&message.pauses, now);
             for sign in message.seen {
                 core.roster.record_liveness(sign, now);
             }
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -7,6 +7,7 @@
 use coordination::fleet::HostHeartbeat;
 use coordination::fleet::LimitReport;
 use coordination::fleet::LivenessDigest;
+use coordination::fleet::PauseReport;
 use coordination::fleet::TokenGrant;
 use coordination::fleet::TrialGrant;
 use coordination::ids::CustomerId;
@@ -71,6 +72,9 @@
     /// Limits that targets stated to any host.
     #[serde(default)]
     pub limits: Vec<LimitReport>,
+    /// Pauses that targets asked any host for.
+    #[serde(default)]
+    pub pauses: Vec<PauseReport>,
     /// Requests that crashed several targets, and those that were answered since.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
@@ -82,8 +86,9 @@
     /// A heartbeat with the state of the sender alone.
     pub fn without_news(own: HostHeartbeat) -> Self {
         let (others, seen) = (Vec::new(), Vec::new());
-        let (failing, limits, crashes) = (Vec::new(), Vec::new(), Vec::new());
-        Self { own, others, seen, failing, limits, crashes, asks: false }
+        let (failing, limits) = (Vec::new(), Vec::new());
+        let (pauses, crashes) = (Vec::new(), Vec::new());
+        Self { own, others, seen, failing, limits, pauses, crashes, asks: false }
     }
 }
 
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -37,6 +37,7 @@
 use crate::entry::PeerForwarder;
 use crate::entry::RequestFacts;
 use crate::entry::UNREACHABLE_REASON;
+use crate::entry::attempt_runner::PAUSED_REASON;
 use crate::entry::attempt_runner::TARGET_FAILED;
 use crate::entry::mark_refused;
 use crate::entry::request_facts::requests_upgrade;
@@ -343,6 +344,11 @@
                 Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "target-limits")
                     .retry_after(self.jittered_pause(wait))
             }
+            PlacementRefusal::Paused { wait } => {
+                let spread =
+                    wait.max(RETRY_AFTER_BOUNDS.0).mul_f64(rand::rng().random_range(1.0..1.5));
+                Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, PAUSED_REASON).retry_after(spread)
+            }
             PlacementRefusal::Busy { wait, .. } => {
                 Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy")
                     .retry_after(self.jittered_pause(wait))
--- a/crates/buckthornturn/src/entry/request_record.rs
+++ b/crates/buckthornturn/src/entry/request_record.rs
@@ -60,7 +60,9 @@
             PlacementRefusal::Busy { wait, pressure } => {
                 (self.wait, self.pressure) = (wait, pressure)
             }
-            PlacementRefusal::Limited { wait } => self.wait = wait,
+            PlacementRefusal::Limited { wait } | PlacementRefusal::Paused { wait } => {
+                self.wait = wait
+            }
             PlacementRefusal::NoTarget => {}
         }
     }
--- a/crates/buckthornturn/src/explain/request_report.rs
+++ b/crates/buckthornturn/src/explain/request_report.rs
@@ -57,6 +57,8 @@
             "targets-unreachable" => "refused before it was sent: this host reached no target, and knew no other host that did".into(),
             "configuration-behind" => "refused before it was sent: this host did not have the configuration that the forwarding host had".into(),
             "peer-failed" => "forwarded to another host, whose answer was lost: it may have run".into(),
+            "target-pauses" => "refused before it was sent: all targets that may run it asked for a pause".into(),
+            "crashes-targets" => "refused before it was sent: the same request crashed several targets, at this host or at others".into(),
             "target-limits" => "refused before it was sent: all targets that may run it state limits, which leave this host no room now".into(),
             "no-target" => "refused before it was sent: this host knew no target that was allowed to run it".into(),
             "no-configuration" => "refused: this host had not loaded a configuration yet".into(),
--- a/crates/coordination/src/fleet/candidate_scoring.rs
+++ b/crates/coordination/src/fleet/candidate_scoring.rs
@@ -47,7 +47,7 @@
             .iter()
             .filter_map(|name| self.targets.get(name))
             .filter(|record| self.takes_requests(record) && is_region_allowed(record, request))
-            .filter(|record| !record.tracker.is_replaced(now))
+            .filter(|record| !record.tracker.is_replaced(now) && record.tracker.pause.may_send(now))
             .collect();
         let pressure = self.pressure(service, &records, now);
         // The next home of an object whose home has no room within its limit is the same on all hosts.
@@ -198,9 +198,11 @@
             false if record.entry.failure_domain == self.own_host.failure_domain => (0.0, 0.0),
             false => (0.0, OTHER_DOMAIN_COST_SECONDS),
         };
-        let failures = tracker.failure_probability(now)
-            * request.latency_objective.as_secs_f64()
-            * FAILURE_COST_OBJECTIVES;
+        // A request that was turned away once does not find out whether another pause is over.
+        let is_doubtful = tracker.pause.is_doubtful() && !request.excluded_targets.is_empty();
+        let failure_probability = if is_doubtful { 1.0 } else { tracker.failure_probability(now) };
+        let failures =
+            failure_probability * request.latency_objective.as_secs_f64() * FAILURE_COST_OBJECTIVES;
         Candidate {
             record,
             load,
--- a/crates/coordination/src/fleet/limit_recording.rs
+++ b/crates/coordination/src/fleet/limit_recording.rs
@@ -10,6 +10,7 @@
 use crate::fleet::PlacementRefusal;
 use crate::fleet::PlacementRequest;
 use crate::fleet::TargetBalancer;
+use crate::fleet::TargetTracker;
 use crate::fleet::target_balancer::TargetRecord;
 use crate::fleet::target_balancer::is_region_allowed;
 
@@ -94,22 +95,32 @@
         }
     }
 
-    /// Refusal of a request that no target is open to: `Limited` with the shortest wait if limits close some of them.
+    /// Refusal of a request that no target is open to: `Limited` or `Paused` with the shortest wait if limits or pauses close
+    /// some of them.
     pub(super) fn refusal_without_candidate(
         &self,
         request: &PlacementRequest<'_>,
         now: Instant,
     ) -> PlacementRefusal {
         let is_closed = |record: &&TargetRecord| {
+            let TargetTracker { limit, pause, .. } = &record.tracker;
             self.takes_requests(record)
                 && is_region_allowed(record, request)
-                && !record.tracker.limit.may_send(now)
+                && !(limit.may_send(now) && pause.may_send(now))
                 && !request.excluded_targets.contains(&record.entry.target)
         };
         let service = self.services.get(request.service);
         let names = service.into_iter().flat_map(|service| &service.targets);
         let closed = names.filter_map(|name| self.targets.get(name)).filter(is_closed);
-        let wait = closed.map(|record| record.tracker.limit.wait(now)).min();
-        wait.map_or(PlacementRefusal::NoTarget, |wait| PlacementRefusal::Limited { wait })
+        let waits = closed.map(|record| {
+            let TargetTracker { limit, pause, .. } = &record.tracker;
+            let pause_wait = pause.wait(now);
+            (limit.wait(now).max(pause_wait), !pause_wait.is_zero())
+        });
+        match waits.min() {
+            None => PlacementRefusal::NoTarget,
+            Some((wait, true)) => PlacementRefusal::Paused { wait },
+            Some((wait, false)) => PlacementRefusal::Limited { wait },
+        }
     }
 }
--- a/crates/coordination/src/fleet/placement_request.rs
+++ b/crates/coordination/src/fleet/placement_request.rs
@@ -62,6 +62,11 @@
         /// Shortest time until one is expected to have.
         wait: Duration,
     },
+    /// All targets that may run the request asked for pauses, or state limits without room for it.
+    Paused {
+        /// Shortest time until one takes requests again.
+        wait: Duration,
+    },
     /// Even the cheapest target is expected to answer too late.
     Busy {
         /// Expected wait on the cheapest target, of the own region if it has any.
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -19,6 +19,7 @@
 use crate::fleet::TargetLimit;
 use crate::fleet::TargetState;
 use crate::fleet::TargetTracker;
+use crate::fleet::departed_targets::DepartedTargets;
 use crate::fleet::placement_candidate::filter_acceptable;
 use crate::fleet::service_record::ServiceRecord;
 use crate::ids::DomainId;
@@ -80,6 +81,7 @@
     pub(super) hosts: Vec<(BalancerHost, u64)>,
     pub(super) caller_share: f64,
     pub(super) neighbour_spill_shares: IndexMap<ServiceId, f64>,
+    departed_targets: DepartedTargets,
 }
 
 impl TargetBalancer {
@@ -95,6 +97,7 @@
             services: IndexMap::new(),
             service_times: IndexMap::new(),
             closed_domains: IndexSet::new(),
+            departed_targets: DepartedTargets::default(),
         }
     }
 
@@ -121,6 +124,7 @@
             });
             self.hosts = hashed.collect();
             self.update_limit_senders(now);
+            self.update_pause_senders(now);
         }
     }
 
@@ -201,6 +205,9 @@
         if is_restart {
             tracker.limit = TargetLimit::restarted(now);
         }
+        if let Some(pause) = self.departed_targets.take(&entry) {
+            tracker.pause = pause;
+        }
         let hash = rendezvous_score(&[&name]);
         let mut record = TargetRecord { entry, hash, tracker };
         record.set_cold_rate(cold_rate);
@@ -212,6 +219,7 @@
     /// rise faster.
     pub fn remove_target(&mut self, target: &str, now: Instant) -> bool {
         let Some(record) = self.targets.swap_remove(target) else { return false };
+        self.departed_targets.keep(&record.entry, record.tracker.pause, now);
         if let Some(service) = self.services.get_mut(&record.entry.service) {
             if let Some(spill) = &mut service.spill
                 && record.entry.region == self.own_host.region
@@ -256,8 +264,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NoTarget` if no target may run the request, `Limited` if only limits of targets keep it from being sent now,
-    /// and `Busy` if even the cheapest target that is open to it is expected to answer too late.
+    /// Returns `NoTarget` if no target may run the request, `Limited` or `Paused` if only limits or pauses of targets keep it
+    /// from being sent now, and `Busy` if even the cheapest target that is open to it is expected to answer too late.
     pub fn choose_target(
         &mut self,
         request: &PlacementRequest<'_>,
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::FailureEstimate;
 use crate::fleet::TargetLimit;
+use crate::fleet::TargetPause;
 use crate::fleet::WarmKeys;
 use crate::token_bucket::TokenBucket;
 
@@ -93,6 +94,8 @@
     pub full_until: Option<Instant>,
     /// Limit that the target stated over the requests of all hosts.
     pub limit: TargetLimit,
+    /// Pauses that the target asked for.
+    pub pause: TargetPause,
     other_requests: f64,
     reported_at: Option<Instant>,
 }
@@ -112,6 +115,7 @@
             cold_bucket: TokenBucket::new(now),
             full_until: None,
             limit: TargetLimit::new(now),
+            pause: TargetPause::default(),
             other_requests: 0.0,
             reported_at: None,
         }
