Targets that say in their answers that they leave get no new requests (DRAIN)

Cause: no host read the header; only the entry in the store made a target leave. Change: decoded in platform/; from the first answer on the host that heard it places nothing there, closes idle connections, and keeps it over an entry that goes missing, until the target's process starts again. Heartbeats tell all hosts.

--- a/crates/buckthornturn/src/callers/target_pool.rs
+++ b/crates/buckthornturn/src/callers/target_pool.rs
@@ -118,6 +118,11 @@
             .await
     }
 
+    /// Closes the idle connections to a target.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.lock().idle_connections.retain(|key, _| key.address != address);
+    }
+
     /// Closes the idle connections to a target, and reuses none to it for `REUSE_SUSPENSION`.
     pub fn suspend_reuse(&self, address: SocketAddr) {
         warn!("target broke the protocol, its connections are not reused", kv: { address: });
--- a/crates/buckthornturn/src/entry/attempt_guard.rs
+++ b/crates/buckthornturn/src/entry/attempt_guard.rs
@@ -50,18 +50,19 @@
         self.started_at.elapsed()
     }
 
-    /// Whether the request may still go to the target, which may have asked for a pause since it was chosen.
+    /// Whether the request may still go to the target, which may leave or have asked for a pause since it was chosen.
     pub fn may_send(&self) -> bool {
         self.state.lock().board.may_still_send(&self.choice.target, Instant::now())
     }
 
-    /// Records what an answer of the target states about its limit and about a pause, and logs a limit that is new, lifted
-    /// or unreadable.
+    /// Records what an answer of the target states about its limit, about a pause and about its leaving, and logs what is
+    /// new or unreadable.
     pub fn record_statements(&self, facts: &AnswerHeaders) {
         let target = &self.choice.target;
         let now = Instant::now();
         let mut core = self.state.lock();
         let change = core.board.record_limit(target, facts.limit, now);
+        let is_new = facts.is_leaving && core.board.record_leaving(target);
         match facts.pause {
             Some(pause) => core.board.record_pause(target, pause, now),
             None if !facts.is_not_run => core.board.record_pause_end(target, now),
@@ -70,6 +71,9 @@
         let is_warned = facts.unreadable_limit.is_some() && core.warnings.take(target, now);
         drop(core);
         log_limit_change(target, facts.limit, change);
+        if is_new {
+            log_leaving(target);
+        }
         if let Some(value) = facts.unreadable_limit.as_deref().filter(|_| is_warned) {
             warn!("target names a limit that is no number of requests a second", kv: { target:, value: });
         }
@@ -111,6 +115,11 @@
     }
 }
 
+/// Logs that a target said for the first time that it leaves.
+pub(super) fn log_leaving(target: &TargetId) {
+    info!("target says that it leaves", kv: { target: });
+}
+
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.finish(AttemptEnd::Abandoned { time: self.elapsed() }, None);
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -132,7 +132,7 @@
 enum SendResult {
     Answered(Response<Incoming>, TargetConnection),
     NotSent,
-    /// The target asked for a pause after it had been chosen.
+    /// The target left or asked for a pause after it had been chosen.
     Withheld,
     Closed(RequestFingerprint),
     OutcomeUnknown(&'static str),
@@ -236,7 +236,7 @@
             }
             SendResult::Withheld => {
                 guard.finish(AttemptEnd::Abandoned { time: Duration::ZERO }, None);
-                return AttemptResult::NotSent(PAUSED_REASON);
+                return AttemptResult::NotSent("target-withdrew");
             }
             SendResult::Closed(fingerprint) => {
                 guard.finish(AttemptEnd::Failed, None);
@@ -259,6 +259,9 @@
         if !facts.is_wrong_target {
             guard.record_statements(&facts);
         }
+        if facts.is_leaving {
+            self.pool.close_idle(key.address);
+        }
         if facts.is_wrong_target || facts.is_not_run {
             return self.finish_not_run(guard, key, connection, &facts, body).await;
         }
@@ -269,6 +272,13 @@
         self.forward_answer(request, guard, key, (parts, body), connection, &facts).await
     }
 
+    /// Keeps a connection for further requests, unless its target leaves.
+    fn return_connection(&self, key: PoolKey, connection: TargetConnection, facts: &AnswerHeaders) {
+        if !facts.is_leaving {
+            self.pool.return_connection(key, connection, idle_limit(facts));
+        }
+    }
+
     async fn finish_not_run(
         &self,
         mut guard: AttemptGuard,
@@ -286,7 +296,7 @@
         }
         guard.finish(end, facts.load);
         if let Ok(BufferedBody::Complete(_)) = buffer_body(body).await {
-            self.pool.return_connection(key, connection, idle_limit(facts));
+            self.return_connection(key, connection, facts);
         }
         AttemptResult::NotRun(reason)
     }
@@ -306,7 +316,7 @@
             Ok(BufferedBody::Complete(bytes)) => {
                 guard.finish(attempt_end(&parts, guard.elapsed()), facts.load);
                 if request.upload.finished_at().is_some() {
-                    self.pool.return_connection(key, connection, idle_limit(facts));
+                    self.return_connection(key, connection, facts);
                 }
                 AttemptResult::Answered(Response::from_parts(parts, full_body(bytes)))
             }
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -17,6 +17,7 @@
 use crate::entry::EntryState;
 use crate::entry::MeshAnswer;
 use crate::entry::MeshClient;
+use crate::entry::attempt_guard::log_leaving;
 use crate::entry::attempt_guard::log_limit_change;
 use crate::entry::mesh_datagram::HeartbeatMessage;
 use crate::entry::mesh_datagram::MeshDatagram;
@@ -125,6 +126,7 @@
             false => core.board.failure_reports(now),
         };
         let limits = core.board.limit_reports(now);
+        let leaving = core.board.leaving_reports();
         let pauses = core.board.pause_reports(now);
         let crashes = core.crashes.reports(now);
         MeshDatagram::Heartbeat(Box::new(HeartbeatMessage {
@@ -133,6 +135,7 @@
             seen,
             failing,
             limits,
+            leaving,
             pauses,
             crashes,
             asks,
@@ -188,6 +191,9 @@
             for (report, change) in core.board.merge_limit_reports(&message.limits, now) {
                 log_limit_change(&report.target, report.rate, change);
             }
+            for report in core.board.merge_leaving_reports(&message.leaving) {
+                log_leaving(&report.target);
+            }
             core.board.merge_pause_reports(&message.pauses, now);
             for sign in message.seen {
                 core.roster.record_liveness(sign, now);
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -5,6 +5,7 @@
 use coordination::fleet::CrashReport;
 use coordination::fleet::FailureReport;
 use coordination::fleet::HostHeartbeat;
+use coordination::fleet::LeavingReport;
 use coordination::fleet::LimitReport;
 use coordination::fleet::LivenessDigest;
 use coordination::fleet::PauseReport;
@@ -72,6 +73,9 @@
     /// Limits that targets stated to any host.
     #[serde(default)]
     pub limits: Vec<LimitReport>,
+    /// Targets that said to any host that they leave.
+    #[serde(default)]
+    pub leaving: Vec<LeavingReport>,
     /// Pauses that targets asked any host for.
     #[serde(default)]
     pub pauses: Vec<PauseReport>,
@@ -87,8 +91,8 @@
     pub fn without_news(own: HostHeartbeat) -> Self {
         let (others, seen) = (Vec::new(), Vec::new());
         let (failing, limits) = (Vec::new(), Vec::new());
-        let (pauses, crashes) = (Vec::new(), Vec::new());
-        Self { own, others, seen, failing, limits, pauses, crashes, asks: false }
+        let (leaving, pauses, crashes) = (Vec::new(), Vec::new(), Vec::new());
+        Self { own, others, seen, failing, limits, leaving, pauses, crashes, asks: false }
     }
 }
 
--- a/crates/buckthornturn/src/interface/caller_dialect.rs
+++ b/crates/buckthornturn/src/interface/caller_dialect.rs
@@ -52,6 +52,8 @@
     pub limit: Option<f64>,
     /// Value of a limit that is not a number of requests a second; the answer then counts as one without a limit.
     pub unreadable_limit: Option<Box<str>>,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
     /// Time for which the target wants no request from this host; `None` if it did not refuse a request or states none.
     pub pause: Option<Duration>,
     /// Value of a pause that is not a number of seconds; the answer then counts as one without a pause.
--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -151,6 +151,9 @@
         AnswerHeaders { limit: Some(3.75), ..AnswerHeaders::default() };
     a_negative_limit_counts_as_none: 503, [("server-limit", "-1")] =>
         AnswerHeaders { unreadable_limit: Some("-1".into()), ..AnswerHeaders::default() };
+    a_leaving_target_is_recognized: 500, [("server-leaving", "1")] =>
+        AnswerHeaders { is_leaving: true, ..AnswerHeaders::default() };
+    another_value_does_not_say_that_a_target_leaves: 200, [("server-leaving", "0")] => AnswerHeaders::default();
     a_pause_is_parsed: 503, [("retry-after", "2.5")] =>
         AnswerHeaders { pause: Some(Duration::from_millis(2_500)), ..AnswerHeaders::default() };
     a_pause_without_a_refusal_is_ignored: 200, [("retry-after", "2")] => AnswerHeaders::default();
--- a/crates/buckthornturn/src/platform/wire_dialect.rs
+++ b/crates/buckthornturn/src/platform/wire_dialect.rs
@@ -40,6 +40,8 @@
 const LOAD_HEADER: HeaderName = HeaderName::from_static("x-server-load");
 /// Requests a second, as a decimal number, that a target takes from all hosts together.
 const LIMIT_HEADER: HeaderName = HeaderName::from_static("server-limit");
+/// `1` in all answers of a target that leaves.
+const LEAVING_HEADER: HeaderName = HeaderName::from_static("server-leaving");
 /// Seconds, as a decimal number, for which a target that turned a request away wants none from the host that sent it.
 const PAUSE_HEADER: HeaderName = http::header::RETRY_AFTER;
 /// Its `timeout` parameter has the seconds for which a target keeps an idle connection open.
@@ -94,6 +96,7 @@
             unreadable_limit: limit
                 .filter(|_| rate.is_none())
                 .map(|value| String::from_utf8_lossy(value.as_bytes()).into()),
+            is_leaving: header_text(headers, &LEAVING_HEADER).as_deref() == Some("1"),
             pause,
             unreadable_pause: stated_pause
                 .filter(|_| pause.is_none())
--- /dev/null
+++ b/crates/buckthornturn/tests/platform/leaving.rs
@@ -0,0 +1,67 @@
+//! Targets that say in their answers that they leave, counted as the targets count.
+
+use std::time::Duration;
+
+use standin::platform::StoreFault;
+
+use crate::entry_fleet::EntryFleet;
+
+/// Time after a host was told from which its callers' requests must not reach the target.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time from the first answer that says so within which all hosts know.
+const KNOWN_TIME: Duration = Duration::from_secs(3);
+/// Time for which callers send, and the pause between two requests to the fleet.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+const REQUEST_PAUSE: Duration = Duration::from_millis(15);
+
+/// What happens to the entry of the target while it leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EntryFate {
+    Stays,
+    ComesBack,
+    StoreIsLost,
+}
+
+macro_rules! leaving {
+    ($($(#[$attribute:meta])* $name:ident: $hosts:literal hosts, $targets:literal targets, entry $fate:ident;)*) => {
+        $($(#[$attribute])* #[tokio::test] async fn $name() {
+            check_leaving($hosts, $targets, EntryFate::$fate).await;
+        })*
+    };
+}
+
+leaving! {
+    /// A target that said in its answers that it leaves got requests until its entry changed.
+    a_target_that_says_that_it_leaves_gets_no_new_requests: 4 hosts, 4 targets, entry Stays;
+    twelve_hosts_leave_a_target_that_says_that_it_leaves: 12 hosts, 3 targets, entry Stays;
+    a_leaving_target_whose_entry_comes_back_gets_no_new_requests: 4 hosts, 4 targets, entry ComesBack;
+    hosts_without_a_store_leave_a_target_that_says_that_it_leaves: 4 hosts, 4 targets, entry StoreIsLost;
+}
+
+async fn check_leaving(hosts: usize, targets: usize, fate: EntryFate) {
+    let fleet = EntryFleet::start(hosts, targets).await;
+    fleet.send_pages(Duration::from_secs(1), REQUEST_PAUSE).await;
+    let target = &fleet.targets[0];
+    if fate == EntryFate::StoreIsLost {
+        fleet.store.set_fault(StoreFault::Busy);
+    }
+    target.start_leaving();
+    let change_entry = async {
+        tokio::time::sleep(DRAIN_TIME / 2).await;
+        if fate == EntryFate::ComesBack {
+            fleet.store.remove("servers", target.name());
+            tokio::time::sleep(DRAIN_TIME).await;
+            fleet.store.put("servers", target.name(), target.entry("pages", "north-a"));
+        }
+    };
+    let (results, ()) = tokio::join!(fleet.send_pages(LOAD_TIME, REQUEST_PAUSE), change_entry);
+    let late = target.late_requests(DRAIN_TIME);
+    assert!(late.checks > 0, "no host was told");
+    assert_eq!(late.requests, 0, "{late:?}");
+    assert!(late.last <= KNOWN_TIME, "{late:?}");
+    let served = results
+        .iter()
+        .filter(|(_, answer)| answer.as_ref().is_some_and(|answer| answer.status() == 200));
+    let served = served.count() as f64 / results.len() as f64;
+    assert!(served >= 0.99, "{served} of the requests served");
+}
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -4,6 +4,7 @@
 
 mod crashes;
 mod entry_fleet;
+mod leaving;
 mod limits;
 mod lost_links;
 mod pauses;
--- a/crates/coordination/src/fleet/departed_targets.rs
+++ b/crates/coordination/src/fleet/departed_targets.rs
@@ -8,6 +8,8 @@
 
 use crate::fleet::TargetEntry;
 use crate::fleet::TargetPause;
+use crate::fleet::TargetTracker;
+use crate::fleet::target_balancer::TargetRecord;
 use crate::ids::TargetId;
 
 /// Time for which a target without an entry is remembered.
@@ -21,27 +23,37 @@
     targets: IndexMap<TargetId, DepartedTarget>,
 }
 
+/// What a target said to this host.
+#[derive(Clone, Debug)]
+pub(super) struct TargetStatements {
+    pub(super) is_leaving: bool,
+    pub(super) pause: TargetPause,
+}
+
 #[derive(Clone, Debug)]
 struct DepartedTarget {
     started_at: u64,
-    pause: TargetPause,
+    statements: TargetStatements,
     departed_at: Instant,
 }
 
 impl DepartedTargets {
     /// Keeps what a target said whose entry went missing.
-    pub(super) fn keep(&mut self, entry: &TargetEntry, pause: TargetPause, now: Instant) {
+    pub(super) fn keep(&mut self, record: &TargetRecord, now: Instant) {
         self.targets
             .retain(|_, target| now.saturating_duration_since(target.departed_at) < MEMORY_TIME);
-        if self.targets.len() < MAX_TARGETS && pause.is_paused(now) {
-            let kept = DepartedTarget { started_at: entry.started_at, pause, departed_at: now };
-            self.targets.insert(entry.target.clone(), kept);
+        let TargetTracker { is_leaving, pause, .. } = &record.tracker;
+        let statements = TargetStatements { is_leaving: *is_leaving, pause: pause.clone() };
+        if self.targets.len() < MAX_TARGETS && (*is_leaving || pause.is_paused(now)) {
+            let started_at = record.entry.started_at;
+            let kept = DepartedTarget { started_at, statements, departed_at: now };
+            self.targets.insert(record.entry.target.clone(), kept);
         }
     }
 
     /// Takes back what the same process of a target said before; `None` for another process.
-    pub(super) fn take(&mut self, entry: &TargetEntry) -> Option<TargetPause> {
+    pub(super) fn take(&mut self, entry: &TargetEntry) -> Option<TargetStatements> {
         let departed = self.targets.swap_remove(&entry.target)?;
-        (departed.started_at == entry.started_at).then_some(departed.pause)
+        (departed.started_at == entry.started_at).then_some(departed.statements)
     }
 }
--- a/crates/coordination/src/fleet/pause_recording.rs
+++ b/crates/coordination/src/fleet/pause_recording.rs
@@ -29,11 +29,6 @@
         }
     }
 
-    /// Whether this host may still send a request that it placed on a target before.
-    pub fn may_still_send(&self, target: &str, now: Instant) -> bool {
-        self.targets.get(target).is_none_or(|record| !record.tracker.pause.is_paused(now))
-    }
-
     /// Returns the number of known targets that get no requests of this host because of a pause.
     pub fn paused_targets(&self, now: Instant) -> usize {
         self.targets.values().filter(|record| !record.tracker.pause.may_send(now)).count()
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -205,8 +205,8 @@
         if is_restart {
             tracker.limit = TargetLimit::restarted(now);
         }
-        if let Some(pause) = self.departed_targets.take(&entry) {
-            tracker.pause = pause;
+        if let Some(statements) = self.departed_targets.take(&entry) {
+            (tracker.is_leaving, tracker.pause) = (statements.is_leaving, statements.pause);
         }
         let hash = rendezvous_score(&[&name]);
         let mut record = TargetRecord { entry, hash, tracker };
@@ -219,7 +219,7 @@
     /// rise faster.
     pub fn remove_target(&mut self, target: &str, now: Instant) -> bool {
         let Some(record) = self.targets.swap_remove(target) else { return false };
-        self.departed_targets.keep(&record.entry, record.tracker.pause, now);
+        self.departed_targets.keep(&record, now);
         if let Some(service) = self.services.get_mut(&record.entry.service) {
             if let Some(spill) = &mut service.spill
                 && record.entry.region == self.own_host.region
@@ -317,6 +317,7 @@
 
     pub(super) fn takes_requests(&self, record: &TargetRecord) -> bool {
         record.entry.state == TargetState::Ready
+            && !record.tracker.is_leaving
             && !self.closed_domains.contains(&record.entry.failure_domain)
     }
 
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -94,6 +94,8 @@
     pub full_until: Option<Instant>,
     /// Limit that the target stated over the requests of all hosts.
     pub limit: TargetLimit,
+    /// Whether the target said that it leaves.
+    pub is_leaving: bool,
     /// Pauses that the target asked for.
     pub pause: TargetPause,
     other_requests: f64,
@@ -115,6 +117,7 @@
             cold_bucket: TokenBucket::new(now),
             full_until: None,
             limit: TargetLimit::new(now),
+            is_leaving: false,
             pause: TargetPause::default(),
             other_requests: 0.0,
             reported_at: None,
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,12 +1,15 @@
 //! Stand-ins for the users' platform: its object store, and targets that use its headers.
 
 mod crash_tally;
+mod leaving_ledger;
 mod limit_ledger;
 mod pause_ledger;
 mod platform_store;
 mod platform_target;
 
 pub use crash_tally::CrashTally;
+pub use leaving_ledger::LateRequests;
+pub use leaving_ledger::LeavingLedger;
 pub use limit_ledger::LimitLedger;
 pub use limit_ledger::LimitWindow;
 pub use pause_ledger::BusiestPause;
