--- a/crates/buckthornturn/src/entry/crash_reporter.rs
+++ b/crates/buckthornturn/src/entry/crash_reporter.rs
@@ -16,6 +16,7 @@
 use spdlog::info;
 use spdlog::warn;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 use crate::entry::EntryCore;
 use crate::entry::EntryState;
@@ -30,15 +31,22 @@
     state: Arc<EntryState>,
     socket: Arc<UdpSocket>,
     client: Arc<MeshClient>,
+    archivist: mpsc::Sender<RequestFingerprint>,
 }
 
 /// Keepers of a request by mesh address, the one that grants trials first; `None` stands for this host.
 type CrashKeepers = Vec<Option<SocketAddr>>;
 
 impl CrashReporter {
-    /// Creates a reporter that sends through `socket` and asks through `client`.
-    pub fn new(state: Arc<EntryState>, socket: Arc<UdpSocket>, client: Arc<MeshClient>) -> Self {
-        Self { state, socket, client }
+    /// Creates a reporter that sends through `socket`, asks through `client`, and tells `archivist` of the requests that
+    /// this host keeps.
+    pub fn new(
+        state: Arc<EntryState>,
+        socket: Arc<UdpSocket>,
+        client: Arc<MeshClient>,
+        archivist: mpsc::Sender<RequestFingerprint>,
+    ) -> Self {
+        Self { state, socket, client, archivist }
     }
 
     /// Records that a target closed its connection under a request, and tells the request's keepers.
@@ -121,8 +129,13 @@
         MeshDatagram::Crashes(vec![report]).send(&self.socket, others).await;
     }
 
-    /// Tells all hosts of a request. Heartbeats tell those that a datagram does not reach.
+    /// Tells all hosts of a request. Heartbeats tell those that a datagram does not reach. The first keeper has it written
+    /// outside the hosts as well.
     async fn tell_all(&self, fingerprint: RequestFingerprint) {
+        if self.keepers(fingerprint).first() == Some(&None) {
+            // With a full queue the hosts alone remember the request.
+            let _ = self.archivist.try_send(fingerprint);
+        }
         let (report, hosts) = {
             let core = self.state.lock();
             let own = &self.state.identity().host;
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::fleet::RequestFingerprint;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -19,6 +20,7 @@
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
@@ -26,6 +28,7 @@
 use crate::callers::ConnectionServer;
 use crate::callers::ServerPhase;
 use crate::callers::TargetPool;
+use crate::entry::CrashArchivist;
 use crate::entry::CrashReporter;
 use crate::entry::EntryState;
 use crate::entry::GossipLoop;
@@ -42,6 +45,7 @@
 use crate::host_process::ListenSnafu;
 use crate::host_process::listen;
 use crate::interface::CallerDialect;
+use crate::interface::CrashArchive;
 use crate::interface::StatePart;
 use crate::interface::StateSource;
 use crate::interface::StreamDialer;
@@ -69,6 +73,8 @@
     pub source: Arc<dyn StateSource>,
     /// Header, path and body formats of callers and targets.
     pub dialect: Arc<dyn CallerDialect>,
+    /// Place outside the hosts where refused requests are kept.
+    pub archive: Arc<dyn CrashArchive>,
     /// Opens the connections to targets and other hosts.
     pub dialer: Arc<dyn StreamDialer>,
 }
@@ -108,7 +114,11 @@
         let dialer = Arc::clone(&platform.dialer);
         let mut tasks = JoinSet::new();
         spawn_followers(&mut tasks, &state, &platform);
-        let (client, reporter) = spawn_gossip(&mut tasks, &state, Arc::new(socket), seeds);
+        let (archivist, archive_queue) =
+            CrashArchivist::new(Arc::clone(&state), Arc::clone(&platform.archive));
+        tasks.spawn(archivist.run());
+        let (client, reporter) =
+            spawn_gossip(&mut tasks, &state, Arc::new(socket), seeds, archive_queue);
         tasks.spawn(serve_mesh(mesh_listener, Arc::clone(&state)));
         tasks.spawn(serve_look_ups(look_ups, Arc::clone(&state), Arc::clone(&platform.dialect)));
         tasks.spawn(serve_readiness(readiness, Arc::clone(&state), Arc::clone(&platform.dialect)));
@@ -172,9 +182,15 @@
     state: &Arc<EntryState>,
     socket: Arc<UdpSocket>,
     seeds: Vec<SocketAddr>,
+    archive_queue: mpsc::Sender<RequestFingerprint>,
 ) -> (Arc<MeshClient>, Arc<CrashReporter>) {
     let client = Arc::new(MeshClient::new(Arc::clone(&socket)));
-    let reporter = CrashReporter::new(Arc::clone(state), Arc::clone(&socket), Arc::clone(&client));
+    let reporter = CrashReporter::new(
+        Arc::clone(state),
+        Arc::clone(&socket),
+        Arc::clone(&client),
+        archive_queue,
+    );
     let reporter = Arc::new(reporter);
     let (gossip_client, gossip_reporter) = (Arc::clone(&client), Arc::clone(&reporter));
     let gossip = GossipLoop::new(Arc::clone(state), socket, gossip_client, gossip_reporter, seeds);
--- a/crates/buckthornturn/src/interface/mod.rs
+++ b/crates/buckthornturn/src/interface/mod.rs
@@ -4,6 +4,7 @@
 mod admission_gate;
 mod caller_dialect;
 mod change_appender;
+mod crash_archive;
 mod freshness_cell;
 mod key_freshness;
 mod object_store;
@@ -37,6 +38,8 @@
 pub use change_appender::AppendReceipt;
 pub use change_appender::ChangeAppender;
 pub use change_appender::ConfigChange;
+pub use crash_archive::ArchivedCrashes;
+pub use crash_archive::CrashArchive;
 pub use freshness_cell::FreshnessCell;
 pub use key_freshness::KeyFreshness;
 pub use object_store::MAX_VALUE_BYTES;
--- a/crates/buckthornturn/src/platform/mod.rs
+++ b/crates/buckthornturn/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! once into the product's own types.
 
 mod config_document;
+mod crash_objects;
 mod store_answer;
 mod store_source;
 mod target_document;
--- a/crates/buckthornturn/src/platform/store_source.rs
+++ b/crates/buckthornturn/src/platform/store_source.rs
@@ -141,9 +141,13 @@
         }
     }
 
+    pub(super) fn reader(&self) -> &HttpReader {
+        &self.reader
+    }
+
     /// Sends a GET request and deserializes the JSON body of its answer. The status `410 Gone` means that the store no
     /// longer has the history of a watch.
-    async fn get_json<T: DeserializeOwned>(
+    pub(super) async fn get_json<T: DeserializeOwned>(
         &self,
         path: &str,
         timeout: Duration,
--- a/crates/buckthornturn/src/store/http_reader.rs
+++ b/crates/buckthornturn/src/store/http_reader.rs
@@ -1,10 +1,11 @@
-//! HTTP GET client for one address.
+//! HTTP client for one address, for reads and for objects that are written now and then.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -20,7 +21,7 @@
 /// Largest response body that is read, in bytes; values and list pages are about a megabyte.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// Sends GET requests to one address over pooled keep-alive connections.
+/// Sends requests to one address over pooled keep-alive connections.
 pub(crate) struct HttpReader {
     address: SocketAddr,
     pool: Arc<ConnectionPool>,
@@ -43,8 +44,8 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), Box<str>> {
         let read = async {
-            match self.get_once(path, false).await {
-                Err(_) => self.get_once(path, true).await,
+            match self.send_once(Method::GET, path, Bytes::new(), false).await {
+                Err(_) => self.send_once(Method::GET, path, Bytes::new(), true).await,
                 answer => answer,
             }
         };
@@ -52,16 +53,36 @@
         answer.unwrap_or_else(|_| Err("the request timed out".into()))
     }
 
-    async fn get_once(
+    /// Sends a request that changes something, once and on a new connection. The error is the reason as text; the request
+    /// may have taken effect then.
+    pub(crate) async fn write(
         &self,
+        method: Method,
         path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<StatusCode, Box<str>> {
+        let answer = tokio::time::timeout(timeout, self.send_once(method, path, body, true)).await;
+        let (status, _) = answer.unwrap_or_else(|_| Err("the request timed out".into()))?;
+        Ok(status)
+    }
+
+    async fn send_once(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
         must_be_new: bool,
     ) -> Result<(StatusCode, Bytes), Box<str>> {
         let mut connection = self.pool.acquire(must_be_new, CONNECT_TIMEOUT).await?;
-        let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(error_text)?;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string());
+        if !body.is_empty() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = request.body(Full::new(body)).map_err(error_text)?;
         let response = connection.sender.send_request(request).await.map_err(error_text)?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(error_text)?;
--- a/crates/buckthornturn/src/subcommand/host_command.rs
+++ b/crates/buckthornturn/src/subcommand/host_command.rs
@@ -25,6 +25,7 @@
 use crate::error::ReadFileSnafu;
 use crate::error::RuntimeSnafu;
 use crate::host_process::HostProcess;
+use crate::interface::CrashArchive;
 use crate::logging::ProcessLog;
 use crate::platform::StoreSource;
 use crate::platform::WireDialect;
@@ -75,8 +76,10 @@
 async fn serve_entry(path: &Path, settings: EntrySettings) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let (store, domains) = (settings.platform.store, settings.domains.clone());
+    let source = Arc::new(StoreSource::new(store, domains, Arc::new(KeepaliveDialer)));
     let platform = HostPlatform {
-        source: Arc::new(StoreSource::new(store, domains, Arc::new(KeepaliveDialer))),
+        archive: Arc::clone(&source) as Arc<dyn CrashArchive>,
+        source,
         dialect: Arc::new(WireDialect),
         dialer: Arc::new(KeepaliveDialer),
     };
--- a/crates/buckthornturn/tests/platform/crashes.rs
+++ b/crates/buckthornturn/tests/platform/crashes.rs
@@ -6,6 +6,7 @@
 use futures::future::join_all;
 use standin::platform::CrashTally;
 use standin::platform::CrashTrigger;
+use standin::platform::TargetMode;
 
 use crate::entry_fleet::CallerRequest;
 use crate::entry_fleet::EntryFleet;
@@ -67,6 +68,52 @@
     assert!(served * 50 >= settled.len() * 49, "{served} of {} others served", settled.len());
 }
 
+/// A fleet that restarted whole once sent such a request again until three more targets had crashed, and then as a trial.
+#[tokio::test]
+async fn a_fleet_that_restarts_whole_keeps_a_request_that_crashes_targets_from_them() {
+    let mut fleet = EntryFleet::start(4, TARGETS).await;
+    let tally = CrashTally::default();
+    let crashing = || CallerRequest::page().with_path("/pages/crash");
+    for target in &fleet.targets {
+        let trigger = CrashTrigger {
+            path: "/pages/crash".into(),
+            body: Default::default(),
+            tally: tally.clone(),
+        };
+        target.set_crash_trigger(trigger);
+    }
+    let load = send_load(&fleet, &crashing, CRASHING_PAUSE);
+    let _ = tokio::time::timeout(SETTLE_TIME, load).await;
+    let kept = fleet.store.names("crashing-requests");
+    fleet.restart_all_hosts().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    send_load(&fleet, &crashing, CRASHING_PAUSE).await;
+    let late = tally.late_arrivals(SETTLE_TIME);
+    assert!(
+        late.is_some_and(|late| late <= MAX_LATE_ARRIVALS),
+        "{late:?} arrivals after the third crash, {} targets crashed",
+        tally.crash_count()
+    );
+    assert_eq!(kept.len(), 1, "{kept:?}");
+}
+
+/// Requests of callers that share a page are refused for a moment only, and nothing stays in the store.
+#[tokio::test]
+async fn a_page_that_ran_where_targets_ended_is_not_refused_for_long() {
+    let fleet = EntryFleet::start(4, TARGETS).await;
+    for target in &fleet.targets[..TARGETS / 2] {
+        target.set_mode(TargetMode::LosesAnswers);
+    }
+    let load = send_load(&fleet, &CallerRequest::page, REQUEST_PAUSE);
+    let _ = tokio::time::timeout(Duration::from_secs(2), load).await;
+    fleet.targets.iter().for_each(|target| target.set_mode(TargetMode::Healthy));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let results = send_load(&fleet, &CallerRequest::page, REQUEST_PAUSE).await;
+    let served = results.iter().filter(|is_served| **is_served).count();
+    assert!(served * 50 >= results.len() * 49, "{served} of {} served", results.len());
+    assert!(fleet.store.names("crashing-requests").is_empty());
+}
+
 /// Sends a request to the hosts in turn at a fixed pace, and returns which of them were served, in order.
 async fn send_load(
     fleet: &EntryFleet,
--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -13,6 +13,7 @@
 use buckthornturn::entry::EntryProcess;
 use buckthornturn::entry::HostPlatform;
 use buckthornturn::entry::KeepaliveDialer;
+use buckthornturn::interface::CrashArchive;
 use buckthornturn::platform::StoreSource;
 use buckthornturn::platform::WireDialect;
 use buckthornturn::settings::EntrySettings;
@@ -87,6 +88,19 @@
         fleet
     }
 
+    /// Ends all hosts at once without any order, and starts as many that know nothing.
+    pub async fn restart_all_hosts(&mut self) {
+        let count = self.hosts.len();
+        self.hosts.clear();
+        self.ports.clear();
+        for number in 0..count {
+            self.start_host(number, self.store.address()).await;
+        }
+        for host in 0..count {
+            self.wait_until("the host is ready", async || self.is_ready(host).await).await;
+        }
+    }
+
     /// Starts one more host that uses the store at an address and knows all earlier hosts.
     pub async fn start_host(&mut self, number: usize, store: SocketAddr) {
         let seeds: Vec<_> = self.ports.iter().map(|ports| ports.mesh).collect();
@@ -102,9 +116,11 @@
         let ports = free_ports();
         let settings = settings(number, &ports, store, seeds);
         let source = StoreSource::new(store, settings.domains.clone(), Arc::new(KeepaliveDialer));
+        let source = Arc::new(source);
         let dialer = RelayedDialer::new(Arc::clone(&self.links), host_links(number));
         let parts = HostPlatform {
-            source: Arc::new(source),
+            archive: Arc::clone(&source) as Arc<dyn CrashArchive>,
+            source,
             dialect: Arc::new(WireDialect),
             dialer: Arc::new(dialer),
         };
--- a/crates/coordination/src/fleet/crash_ledger.rs
+++ b/crates/coordination/src/fleet/crash_ledger.rs
@@ -58,6 +58,20 @@
     pub answered_ms: Option<u32>,
 }
 
+impl CrashReport {
+    /// Returns the report as it reads a time later.
+    pub fn aged(self, time: Duration) -> Self {
+        let time = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        let later = |age_ms: u32| age_ms.saturating_add(time);
+        Self {
+            crashes: self.crashes.iter().map(|(target, age)| (*target, later(*age))).collect(),
+            tried_ms: self.tried_ms.map(later),
+            answered_ms: self.answered_ms.map(later),
+            ..self
+        }
+    }
+}
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashVerdict {
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -9,9 +9,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use serde_json::Value;
@@ -132,6 +134,13 @@
         self.changed.send_replace(revision);
     }
 
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<Box<str>> {
+        let table = lock_table(&self.table);
+        let keys = table.objects.keys().filter(|key| &*key.0 == kind);
+        keys.map(|key| key.1.clone()).collect()
+    }
+
     /// Number of calls since the start, failed ones included.
     pub fn calls(&self) -> u64 {
         lock_table(&self.table).calls
@@ -171,6 +180,9 @@
     request: Request<Incoming>,
 ) -> ServerResult {
     lock_table(&table).calls += 1;
+    if request.method() != Method::GET {
+        return write_object(&table, request).await;
+    }
     let kind: Box<str> = match request.uri().path().strip_prefix("/objects/") {
         Some(kind) => kind.into(),
         None => return Ok(plain_answer(StatusCode::NOT_FOUND, "no such path")),
@@ -210,6 +222,37 @@
     }
 }
 
+/// Creates, replaces or deletes an object of a caller. Watches are not told, as no part of the state is written so.
+async fn write_object(table: &Mutex<StoreTable>, request: Request<Incoming>) -> ServerResult {
+    let fault = lock_table(table).fault;
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| AnswerWithheld)?.to_bytes();
+    let object: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let path = parts.uri.path().strip_prefix("/objects/").unwrap_or_default();
+    let named = object["metadata"]["name"].as_str().unwrap_or_default();
+    let (kind, name) = path.split_once('/').unwrap_or((path, named));
+    let key = (Box::<str>::from(kind), Box::<str>::from(name));
+    if fault != StoreFault::None {
+        return apply_fault(fault, plain_answer(StatusCode::OK, ""));
+    }
+    let mut table = lock_table(table);
+    let is_known = table.objects.contains_key(&key);
+    let status = match parts.method {
+        Method::POST if is_known => StatusCode::CONFLICT,
+        Method::PUT | Method::DELETE if !is_known => StatusCode::NOT_FOUND,
+        Method::DELETE => {
+            table.objects.shift_remove(&key);
+            StatusCode::OK
+        }
+        _ => {
+            table.revision += 1;
+            table.objects.insert(key, object);
+            StatusCode::OK
+        }
+    };
+    Ok(plain_answer(status, "{}"))
+}
+
 fn apply_fault(fault: StoreFault, response: Response<ServerBody>) -> ServerResult {
     match fault {
         StoreFault::None | StoreFault::StalledWatches => Ok(response),
