--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -24,6 +24,9 @@
 /// Seeds played for each case with up to `SMALL_FLEET` hosts; larger ones are played once.
 const SEEDS: u64 = 3;
 const SMALL_FLEET: usize = 10;
+/// Largest share of a region's requests that may change the region in which they run from one window to the next.
+const MAX_SHIFT: f64 = 0.15;
+const SHIFT_SEEDS: u64 = 2;
 /// Time for which each limit is in force.
 const LIMIT_TIME: Duration = Duration::from_secs(12);
 /// Longest time after its end for which hosts keep to a limit, also of a target that gets no requests.
@@ -89,6 +92,40 @@
     assert!(senders > 2, "{senders} hosts send to a target whose limit was lifted, seed {seed}");
 }
 
+macro_rules! shifts {
+    ($($(#[$attribute:meta])* $name:ident: $case:expr;)*) => {
+        $($(#[$attribute])* #[test] fn $name() { check_shifts($case); })*
+    };
+}
+
+shifts! {
+    /// With no room left inside, requests went outside at once, whatever the share that may change.
+    limits_of_all_targets_of_a_service_move_requests_of_ten_hosts_slowly: LimitCase {
+        hosts: 10, targets: 12, limited: 12, slots: 12, rate: 20.0, host_load: 50.0, restart_pause: None,
+    };
+    limits_of_a_third_of_the_targets_move_requests_of_sixty_hosts_slowly: LimitCase {
+        hosts: 60, targets: 90, limited: 30, slots: 4, rate: 4.0, host_load: 20.0, restart_pause: None,
+    };
+    limits_of_a_third_of_the_targets_move_requests_of_a_large_fleet_slowly: LimitCase {
+        hosts: 195, targets: 120, limited: 40, slots: 4, rate: 2.0, host_load: 8.0, restart_pause: None,
+    };
+}
+
+/// Plays limits that are named and lifted, and compares where the requests of each region run in windows of two seconds.
+fn check_shifts(case: LimitCase) {
+    for seed in 0..SHIFT_SEEDS {
+        let mut model = LimitModel::new(case, seed);
+        model.play(Duration::from_secs(6));
+        for limit in [Some(case.rate), None] {
+            model.set_limit(limit);
+            model.play(Duration::from_secs(10));
+        }
+        let (shift, checks) = model.largest_shift();
+        println!("largest shift {shift:.2} of {checks}, seed {seed}");
+        assert!(shift <= MAX_SHIFT, "{shift:.2} of a region's requests, seed {seed}");
+    }
+}
+
 macro_rules! cases {
     ($($name:ident: $check:expr;)*) => { $(#[test] fn $name() { $check(Instant::now()); })* };
 }
--- a/crates/coordination/tests/support/limit_model.rs
+++ b/crates/coordination/tests/support/limit_model.rs
@@ -24,6 +24,8 @@
 const DATAGRAM_LOSS: f64 = 0.05;
 const OBJECTS: u64 = 400;
 const DOMAINS: usize = 6;
+const REGIONS: usize = 3;
+const SHIFT_WINDOW: Duration = Duration::from_secs(2);
 /// The rule: a window, its tolerance, and when a host and a limit start to count.
 const WINDOW: Duration = Duration::from_secs(4);
 const NOTICE_TIME: Duration = Duration::from_millis(500);
@@ -61,8 +63,13 @@
     arrivals: IndexMap<Box<str>, Vec<(Instant, usize)>>,
     requests: usize,
     refused: usize,
+    started_at: Instant,
+    region_runs: Vec<RegionRuns>,
 }
 
+/// Requests of one window, by region of the host and region of the target that ran them.
+type RegionRuns = [[usize; REGIONS]; REGIONS];
+
 struct ModelHost {
     balancer: TargetBalancer,
     running: Vec<(Instant, PlacementChoice)>,
@@ -89,6 +96,8 @@
             arrivals,
             requests: 0,
             refused: 0,
+            started_at: now,
+            region_runs: Vec::new(),
         }
     }
 
@@ -141,6 +150,16 @@
         requests as f64 / seconds / self.case.limited as f64
     }
 
+    /// Largest share of a region's requests that changed the region in which they ran from one window to the next, and the
+    /// number of windows compared. The first two windows are left out.
+    pub fn largest_shift(&self) -> (f64, usize) {
+        let pairs = self.region_runs.windows(2).skip(2);
+        let shifts = pairs.flat_map(|pair| {
+            (0..REGIONS).map(|region| shifted_share(&pair[0][region], &pair[1][region]))
+        });
+        shifts.fold((0.0, 0), |(largest, count), shift| (shift.max(largest), count + 1))
+    }
+
     /// Share of requests that were refused since the limit was set.
     pub fn refused_share(&self) -> f64 {
         self.refused as f64 / self.requests.max(1) as f64
@@ -168,6 +187,12 @@
             let state = &mut self.hosts[host];
             match request.choose_target(&mut state.balancer, self.now) {
                 Ok(choice) => {
+                    let window =
+                        (self.now - self.started_at).as_millis() / SHIFT_WINDOW.as_millis();
+                    let windows = self.region_runs.len().max(window as usize + 1);
+                    self.region_runs.resize(windows, RegionRuns::default());
+                    let regions = (region(host), region(target_number(&choice.target)));
+                    self.region_runs[window as usize][regions.0][regions.1] += 1;
                     let told_at = state.told_at.get(&choice.target);
                     if told_at.is_some_and(|at| self.now >= *at + NOTICE_TIME) {
                         let arrivals = self.arrivals.entry(choice.target.clone()).or_default();
@@ -189,8 +214,7 @@
         state.running = running;
         let ended: Vec<(Instant, PlacementChoice)> = ended;
         for (_, choice) in ended {
-            let number: usize = choice.target[1..].parse().unwrap_or(usize::MAX);
-            let stated = limit.filter(|_| number < limited);
+            let stated = limit.filter(|_| target_number(&choice.target) < limited);
             if stated.is_some() {
                 state.told_at.entry(choice.target.clone()).or_insert(now);
             }
@@ -255,6 +279,22 @@
 }
 
 fn place(number: usize) -> (String, String) {
-    let domain = number % DOMAINS;
-    (format!("d{domain}"), format!("r{}", domain / 2))
+    (format!("d{}", number % DOMAINS), format!("r{}", region(number)))
+}
+
+/// Number of the region that a host or a target is in.
+fn region(number: usize) -> usize {
+    number % DOMAINS / 2
+}
+
+fn target_number(target: &str) -> usize {
+    target[1..].parse().unwrap_or(usize::MAX)
+}
+
+/// Share of requests by which two distributions over regions differ.
+fn shifted_share(before: &[usize; REGIONS], after: &[usize; REGIONS]) -> f64 {
+    let share = |counts: &[usize; REGIONS], region: usize| {
+        counts[region] as f64 / counts.iter().sum::<usize>().max(1) as f64
+    };
+    (0..REGIONS).map(|region| (share(after, region) - share(before, region)).max(0.0)).sum()
 }
