--- /dev/null
+++ b/crates/coordination/tests/shifts.rs
@@ -0,0 +1,93 @@
+//! Where the requests of a region run changes slowly, whatever takes room from its targets or gives it back.
+
+mod support {
+    pub mod fleet_parts;
+    pub mod shift_model;
+}
+
+use std::time::Duration;
+
+use support::shift_model::ShiftCase;
+use support::shift_model::ShiftModel;
+use support::shift_model::TargetTrouble;
+
+/// Largest share of a region's requests that may change the region in which they run from one window of two seconds to the
+/// next (`max_region_shift`).
+const MAX_SHIFT: f64 = 0.15;
+const TIME_BEFORE: Duration = Duration::from_secs(8);
+const TIME_AFTER: Duration = Duration::from_secs(22);
+const SEEDS: u64 = 1;
+
+/// A third of the hosts and targets in each region, at 44, 65 and 87% of the slots.
+const CALM: ShiftCase = ShiftCase {
+    hosts: 30,
+    targets: [18, 18, 18],
+    slots: 4,
+    load: 0.44,
+    trouble: TargetTrouble::None,
+    region: 0,
+    share: 1.0,
+};
+const BUSY: ShiftCase = ShiftCase { load: 0.65, ..CALM };
+const FULL: ShiftCase = ShiftCase { load: 0.87, ..CALM };
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn play(case: ShiftCase, seed: u64) -> (f64, f64, f64) {
+    let report = ShiftModel::new(case, seed).play(TIME_BEFORE, TIME_AFTER);
+    println!("{:?}, {:.2} of the slots, {} hosts: {report:?}", case.trouble, case.load, case.hosts);
+    assert!(report.checks > 0, "no window was compared");
+    (report.shift.0, report.refused, report.refused_at_end)
+}
+
+fn check(case: ShiftCase, max_refused: f64) {
+    for seed in 0..SEEDS {
+        let (shift, refused, _) = play(case, seed);
+        assert!(shift <= MAX_SHIFT, "{shift:.2} of a region's requests, seed {seed}");
+        assert!(refused <= max_refused, "{refused:.2} of a region's requests refused, seed {seed}");
+    }
+}
+
+macro_rules! shifts {
+    ($($name:ident: $case:expr => refused $refused:literal;)*) => {
+        $(#[test] fn $name() { check($case, $refused); })*
+    };
+}
+
+shifts! {
+    a_fleet_without_trouble_shifts_little: FULL => refused 0.02;
+    limits_of_all_targets_of_a_busy_region_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Limits(seconds(10)), ..BUSY } => refused 0.55;
+    limits_of_a_third_of_a_full_region_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Limits(seconds(10)), share: 0.3, ..FULL } => refused 0.1;
+    pauses_of_all_targets_of_a_region_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Pauses(seconds(4)), ..CALM } => refused 0.3;
+    pauses_of_a_third_of_a_full_region_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Pauses(seconds(4)), share: 0.3, ..FULL } => refused 0.1;
+    half_of_the_targets_of_a_busy_region_that_leave_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Leaving, share: 0.5, ..BUSY } => refused 0.1;
+    a_fifth_of_the_targets_of_a_full_region_that_leave_shift_slowly:
+        ShiftCase { trouble: TargetTrouble::Leaving, share: 0.2, ..FULL } => refused 0.1;
+    a_fifth_of_a_full_region_that_is_gone_for_a_moment_shifts_slowly:
+        ShiftCase { trouble: TargetTrouble::Gone, share: 0.2, ..FULL } => refused 0.1;
+    one_lost_target_does_not_open_a_full_region:
+        ShiftCase { trouble: TargetTrouble::Gone, share: 0.05, ..FULL } => refused 0.03;
+    targets_that_crash_one_after_the_other_do_not_open_a_full_region:
+        ShiftCase { trouble: TargetTrouble::Crashes(seconds(1)), share: 0.6, ..FULL } => refused 0.1;
+    targets_replaced_under_their_names_do_not_open_a_full_region:
+        ShiftCase { trouble: TargetTrouble::Restarts(Duration::from_millis(300)), share: 0.5, ..FULL } => refused 0.03;
+    a_closed_domain_of_a_busy_region_shifts_slowly:
+        ShiftCase { trouble: TargetTrouble::Closed(seconds(8)), ..BUSY } => refused 0.15;
+}
+
+/// Without a target left inside, callers are served outside at once, beyond the share that may change.
+#[test]
+fn callers_of_a_region_that_lost_all_targets_are_served() {
+    let (_, refused, refused_at_end) = play(ShiftCase { trouble: TargetTrouble::Lost, ..CALM }, 0);
+    assert!(
+        refused <= 0.1 && refused_at_end <= 0.02,
+        "{refused:.2}, {refused_at_end:.2} at the end"
+    );
+}
