--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod quota_ledger;
 mod request_fingerprint;
 mod retry_allowance;
+mod room_losses;
 mod route_split;
 mod service_record;
 mod service_times;
--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -8,9 +8,9 @@
 /// Fastest change of the share per second. The platform allows 0.15 in two seconds (`max_region_shift`); the margin
 /// covers the scatter of windows with few requests.
 const MAX_CHANGE_PER_SECOND: f64 = 0.05;
-/// Fastest change of the share per second after the region lost a target, when no other target can serve its callers.
-const MAX_LOSS_CHANGE_PER_SECOND: f64 = 1.0;
-/// Time after the loss of a target of the region during which the faster change is allowed.
+/// Fastest growth of the share per second after the region lost much of its room.
+const MAX_LOSS_GROWTH_PER_SECOND: f64 = 1.0;
+/// Time after the loss of room of the region during which the faster growth is allowed.
 const LOSS_RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Requests per slot of the region above which the share grows: nearly all slots are in use.
 const HIGH_PRESSURE: f64 = 0.85;
@@ -50,7 +50,7 @@
     refused_share: f64,
     updated_at: Instant,
     approached_at: Instant,
-    target_lost_at: Option<Instant>,
+    room_lost_at: Option<Instant>,
 }
 
 impl SpillController {
@@ -62,13 +62,13 @@
             refused_share: 0.0,
             updated_at: now,
             approached_at: now,
-            target_lost_at: None,
+            room_lost_at: None,
         }
     }
 
-    /// Records the loss of a target of the region, which allows the faster change for `LOSS_RECOVERY_TIME`.
-    pub fn record_target_loss(&mut self, now: Instant) {
-        self.target_lost_at = Some(now);
+    /// Records that the region lost much of its room without notice, which allows the faster growth for `LOSS_RECOVERY_TIME`.
+    pub fn record_room_loss(&mut self, now: Instant) {
+        self.room_lost_at = Some(now);
     }
 
     /// Records whether a request that was to run inside was refused. Refused requests count as pressure although they
@@ -85,14 +85,13 @@
         self.updated_at = now;
         let weight = 1.0 - (-elapsed / PRESSURE_AVERAGE_TIME.as_secs_f64()).exp();
         self.pressure += weight * (offered - self.pressure);
-        let max_step = elapsed.min(1.0)
-            * if self.has_recent_loss(now) {
-                MAX_LOSS_CHANGE_PER_SECOND
-            } else {
-                MAX_CHANGE_PER_SECOND
-            };
+        let max_step = MAX_CHANGE_PER_SECOND * elapsed.min(1.0);
+        let max_growth = match self.has_recent_loss(now) {
+            true => MAX_LOSS_GROWTH_PER_SECOND * elapsed.min(1.0),
+            false => max_step,
+        };
         let step = match self.pressure {
-            pressure if pressure > HIGH_PRESSURE && pressure > outside => max_step,
+            pressure if pressure > HIGH_PRESSURE && pressure > outside => max_growth,
             pressure if pressure < LOW_PRESSURE => {
                 -max_step * ((LOW_PRESSURE - pressure) / RETURN_RANGE).min(1.0)
             }
@@ -117,10 +116,10 @@
         point < self.share
     }
 
-    /// Returns whether the region lost a target recently, so that requests without room inside may run outside beyond
-    /// the share.
+    /// Returns whether the region lost much of its room recently, so that requests without room inside may run outside
+    /// beyond the share.
     pub fn has_recent_loss(&self, now: Instant) -> bool {
-        self.target_lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_RECOVERY_TIME)
+        self.room_lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_RECOVERY_TIME)
     }
 
     /// Returns the current share, 0 to 1, of requests that runs outside.
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -200,7 +200,7 @@
             }
         }
         let name = entry.target.clone();
-        let is_restart = self.remove_target(&name, now);
+        let is_restart = self.take_target(&name, now).is_some();
         let service = self.services.entry(entry.service.clone()).or_default();
         service.targets.push(name.clone());
         let cold_rate = service.cold_rate;
@@ -221,20 +221,39 @@
         EntryChange::Started
     }
 
-    /// Removes a target and returns whether it was known. The loss of a target in the own region lets the spill share
-    /// rise faster.
+    /// Removes a target and returns whether it was known. If the own region lost much of its room without notice, the spill
+    /// share may rise faster.
     pub fn remove_target(&mut self, target: &str, now: Instant) -> bool {
-        let Some(record) = self.targets.swap_remove(target) else { return false };
+        let Some(record) = self.take_target(target, now) else { return false };
+        let is_loss = record.entry.region == self.own_host.region && self.takes_requests(&record);
+        let room = self.region_slots(&record.entry.service);
+        if let Some(service) = self.services.get_mut(&record.entry.service)
+            && is_loss
+        {
+            service.losses.record(record.entry.slots, now);
+            let spill = service.spill.as_mut().filter(|_| service.losses.are_large(room, now));
+            spill.into_iter().for_each(|spill| spill.record_room_loss(now));
+        }
+        true
+    }
+
+    fn take_target(&mut self, target: &str, now: Instant) -> Option<TargetRecord> {
+        let record = self.targets.swap_remove(target)?;
         self.departed_targets.keep(&record, now);
         if let Some(service) = self.services.get_mut(&record.entry.service) {
-            if let Some(spill) = &mut service.spill
-                && record.entry.region == self.own_host.region
-            {
-                spill.record_target_loss(now);
-            }
             service.targets.retain(|name| &**name != target);
         }
-        true
+        Some(record)
+    }
+
+    /// Slots of the targets of the own region that take requests of a service.
+    fn region_slots(&self, service: &ServiceId) -> u32 {
+        let names = self.services.get(service).into_iter().flat_map(|service| &service.targets);
+        let records = names.filter_map(|name| self.targets.get(name));
+        let inside = records.filter(|record| {
+            record.entry.region == self.own_host.region && self.takes_requests(record)
+        });
+        inside.map(|record| record.entry.slots).sum()
     }
 
     /// Forgets the failures of targets, because this host could not reach any target and they were its own.
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -104,9 +104,9 @@
 }
 
 cases! {
-    a_lost_target_lets_spill_move_at_once: |now: Instant| {
+    lost_room_lets_spill_move_at_once: |now: Instant| {
         let mut spill = SpillController::new(0.0, now);
-        spill.record_target_loss(now);
+        spill.record_room_loss(now);
         for step in 0..100 {
             spill.update_share(1.5, 0.1, now + Duration::from_millis(step * 10));
         }
--- a/crates/coordination/tests/shifts.rs
+++ b/crates/coordination/tests/shifts.rs
@@ -1,12 +1,22 @@
 //! Where the requests of a region run changes slowly, whatever takes room from its targets or gives it back.
 
+#![allow(clippy::unwrap_used)]
+
 mod support {
     pub mod fleet_parts;
     pub mod shift_model;
 }
 
 use std::time::Duration;
+use std::time::Instant;
+
+use coordination::fleet::PlacementRefusal;
+use coordination::fleet::TargetBalancer;
+use coordination::fleet::TargetState;
 
+use support::fleet_parts::TestRequest;
+use support::fleet_parts::balancer;
+use support::fleet_parts::entry;
 use support::shift_model::ShiftCase;
 use support::shift_model::ShiftModel;
 use support::shift_model::TargetTrouble;
@@ -91,3 +101,74 @@
         "{refused:.2}, {refused_at_end:.2} at the end"
     );
 }
+
+/// Number of objects of which a balancer sends one outside the region `r1` while the targets of that region refuse.
+fn objects_outside(balancer: &mut TargetBalancer, now: Instant) -> usize {
+    for target in ["t1", "t2", "t7", "t8"] {
+        balancer.record_limit(target, Some(0.5), now);
+    }
+    let placed =
+        (0..100).map(|object| TestRequest::for_object(object).choose_target(balancer, now));
+    placed
+        .filter(|choice| choice.as_ref().is_ok_and(|choice| is_outside(&choice.failure_domain)))
+        .count()
+}
+
+fn is_outside(domain: &str) -> bool {
+    !matches!(domain, "d1" | "d2")
+}
+
+macro_rules! cases {
+    ($($name:ident: $check:expr;)*) => { $(#[test] fn $name() { $check(Instant::now()); })* };
+}
+
+cases! {
+    limits_alone_send_nothing_outside_at_once: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        assert_eq!(objects_outside(&mut balancer, now), 0);
+    };
+    a_restart_under_the_same_name_is_no_loss: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        for target in ["t1", "t7"] {
+            let mut restarted = entry(target, "d1", "r1");
+            restarted.started_at = 2;
+            balancer.upsert_target(restarted, now);
+        }
+        assert_eq!(objects_outside(&mut balancer, now), 0);
+    };
+    targets_that_drain_before_they_go_are_no_loss: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        for target in ["t1", "t7"] {
+            let mut draining = entry(target, "d1", "r1");
+            draining.state = TargetState::Draining;
+            balancer.upsert_target(draining, now);
+            balancer.remove_target(target, now);
+        }
+        assert_eq!(objects_outside(&mut balancer, now), 0);
+    };
+    half_of_a_region_lost_without_notice_opens_it: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        balancer.remove_target("t1", now);
+        balancer.remove_target("t7", now);
+        assert!(objects_outside(&mut balancer, now) > 50);
+    };
+    a_region_whose_targets_all_leave_is_served_outside: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        for target in ["t1", "t2", "t7", "t8"] {
+            balancer.record_leaving(target, 1, now);
+        }
+        assert!(objects_outside(&mut balancer, now) > 50);
+    };
+    a_request_that_only_limits_inside_keep_back_is_told_so: |now| {
+        let mut balancer = balancer("h1", "d1", "r1", now);
+        TestRequest::for_object(1).choose_target(&mut balancer, now).unwrap();
+        objects_outside(&mut balancer, now);
+        let refusal = TestRequest::for_object(3).choose_target(&mut balancer, now).unwrap_err();
+        assert!(matches!(refusal, PlacementRefusal::Limited { .. }), "{refusal:?}");
+    };
+}
