--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -78,6 +78,7 @@
 pub use service_record::RegionLoads;
 pub use service_times::ObjectWarmth;
 pub use service_times::ServiceTimes;
+pub use spill_controller::RegionRoom;
 pub use spill_controller::SpillController;
 pub use state_route::RouteHost;
 pub use state_route::StateRoute;
--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -1,13 +1,20 @@
 //! Controls the share of a service's requests that spill to other regions, and selects those requests. Regions with
 //! more callers than targets need spill. Its rate of change is limited, because otherwise, after load waves and starts,
 //! all hosts of a region would send their surplus elsewhere within one second and take it back within the next.
+//!
+//! The share is one of the requests that run: where targets of the region turn requests away, fewer are sent outside, so that
+//! the same number outside does not become a larger share.
+//!
+//! Load that this answers: targets of a region that state limits, pause, leave, crash or restart while callers use most of the
+//! region's slots, and their return.
 
 use std::time::Duration;
 use std::time::Instant;
 
-/// Fastest change of the share per second. The platform allows 0.15 in two seconds (`max_region_shift`); the margin
-/// covers the scatter of windows with few requests.
-const MAX_CHANGE_PER_SECOND: f64 = 0.05;
+/// Fastest growth and decline of the share per second. The platform allows 0.15 in two seconds (`max_region_shift`); the margin
+/// covers the scatter of windows with few requests. Nobody waits for the decline.
+const MAX_GROWTH_PER_SECOND: f64 = 0.05;
+const MAX_DECLINE_PER_SECOND: f64 = 0.04;
 /// Fastest growth of the share per second after the region lost much of its room.
 const MAX_LOSS_GROWTH_PER_SECOND: f64 = 1.0;
 /// Time after the loss of room of the region during which the faster growth is allowed.
@@ -17,7 +24,7 @@
 /// Requests per slot of the region below which the share shrinks: a third of the slots is free.
 const LOW_PRESSURE: f64 = 0.6;
 /// Part of the difference to the mean of the region's hosts by which the share moves in a second, and its fastest change
-/// for that reason. With `MAX_CHANGE_PER_SECOND` it stays within what the platform allows.
+/// for that reason. With `MAX_GROWTH_PER_SECOND` it stays within what the platform allows.
 const APPROACH_RATE: f64 = 0.5;
 const MAX_APPROACH_PER_SECOND: f64 = 0.02;
 /// Difference to `LOW_PRESSURE` from which the share shrinks at full speed. Near the bound it shrinks slowly, because each
@@ -26,10 +33,21 @@
 /// Time constant of the moving average of the pressure: a few service times.
 const PRESSURE_AVERAGE_TIME: Duration = Duration::from_millis(500);
 
-/// Weight of the latest decision in the moving average of refusals.
-const DECISION_WEIGHT: f64 = 0.03;
-/// Lower bound of the served share by which pressure is divided, so that it stays bounded.
-const MIN_SERVED_SHARE: f64 = 0.1;
+/// Time constant of the moving averages of how many requests find room, and the bounds of the weight of one request.
+const ROOM_AVERAGE_TIME: Duration = Duration::from_millis(500);
+const ROOM_WEIGHT_BOUNDS: (f64, f64) = (0.03, 0.5);
+/// Lower bound of the share of requests that finds room, so that quotients stay bounded.
+const MIN_ROOM: f64 = 0.1;
+/// Difference between the shares of requests that find room inside and outside from which the share moves to the side with
+/// more room.
+const ROOM_DIFFERENCE: f64 = 0.2;
+/// Requests by which a host may be ahead of its share or behind it, so that objects stay on their side.
+const SPILL_TOLERANCE: f64 = 1.5;
+/// Share of requests that find room inside, compared to outside, below which a host keeps to its share without tolerance: of
+/// the few objects of a small share some are more popular than others.
+const SHORT_ROOM: f64 = 0.5;
+/// Part of all requests that may run inside although they were to run outside, where no target takes them.
+const RETURN_SHARE: f64 = 0.05;
 
 /// Least surplus that a host sends outside from its start; a smaller one is ignored, because the shares of callers and
 /// slots are estimates.
@@ -47,19 +65,37 @@
 pub struct SpillController {
     share: f64,
     pressure: f64,
-    refused_share: f64,
+    /// Shares of requests that would find room inside and outside the region.
+    room: RegionRoom,
+    /// Requests that may return inside, at most 1.
+    returns: f64,
+    /// Requests that are due outside by the share and were not selected yet; negative if too many were.
+    due_outside: f64,
+    decided_at: Instant,
     updated_at: Instant,
     approached_at: Instant,
     room_lost_at: Option<Instant>,
 }
 
+/// Shares of requests, 0 to 1, that would find room on the two sides of a region's border.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RegionRoom {
+    /// On targets of the region.
+    pub inside: f64,
+    /// On targets of other regions.
+    pub outside: f64,
+}
+
 impl SpillController {
     /// Creates a controller with an initial share, 0 to 1, of requests outside.
     pub fn new(share: f64, now: Instant) -> Self {
         Self {
             share,
             pressure: 0.0,
-            refused_share: 0.0,
+            room: RegionRoom { inside: 1.0, outside: 1.0 },
+            returns: 1.0,
+            due_outside: rand::random(),
+            decided_at: now,
             updated_at: now,
             approached_at: now,
             room_lost_at: None,
@@ -71,29 +107,39 @@
         self.room_lost_at = Some(now);
     }
 
-    /// Records whether a request that was to run inside was refused. Refused requests count as pressure although they
-    /// fill no slot.
-    pub fn record_decision(&mut self, is_refused: bool) {
-        self.refused_share +=
-            DECISION_WEIGHT * (f64::from(u8::from(is_refused)) - self.refused_share);
+    /// Records whether a request would find room inside and outside the region, wherever it runs.
+    pub fn record_room(&mut self, inside: bool, outside: bool, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.decided_at).as_secs_f64();
+        self.decided_at = now;
+        let weight = 1.0 - (-elapsed / ROOM_AVERAGE_TIME.as_secs_f64()).exp();
+        let weight = weight.clamp(ROOM_WEIGHT_BOUNDS.0, ROOM_WEIGHT_BOUNDS.1);
+        let RegionRoom { inside: known_inside, outside: known_outside } = &mut self.room;
+        for (known, found) in [(known_inside, inside), (known_outside, outside)] {
+            *known += weight * (f64::from(u8::from(found)) - *known);
+        }
+        self.returns = (self.returns + RETURN_SHARE).min(1.0);
     }
 
     /// Moves the share by the current requests per slot inside and outside the region.
     pub fn update_share(&mut self, inside: f64, outside: f64, now: Instant) {
-        let offered = inside / (1.0 - self.refused_share).max(MIN_SERVED_SHARE);
+        let RegionRoom { inside: room, outside: outside_room } = self.room;
+        let offered = inside / room.max(MIN_ROOM);
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.updated_at = now;
         let weight = 1.0 - (-elapsed / PRESSURE_AVERAGE_TIME.as_secs_f64()).exp();
         self.pressure += weight * (offered - self.pressure);
-        let max_step = MAX_CHANGE_PER_SECOND * elapsed.min(1.0);
-        let max_growth = match self.has_recent_loss(now) {
-            true => MAX_LOSS_GROWTH_PER_SECOND * elapsed.min(1.0),
-            false => max_step,
+        let elapsed = elapsed.min(1.0);
+        let growth = match self.has_recent_loss(now) {
+            true => MAX_LOSS_GROWTH_PER_SECOND,
+            false => MAX_GROWTH_PER_SECOND,
         };
         let step = match self.pressure {
-            pressure if pressure > HIGH_PRESSURE && pressure > outside => max_growth,
+            _ if room + ROOM_DIFFERENCE < outside_room => growth * elapsed,
+            _ if outside_room + ROOM_DIFFERENCE < room => -MAX_DECLINE_PER_SECOND * elapsed,
+            pressure if pressure > HIGH_PRESSURE && pressure > outside => growth * elapsed,
             pressure if pressure < LOW_PRESSURE => {
-                -max_step * ((LOW_PRESSURE - pressure) / RETURN_RANGE).min(1.0)
+                let part = ((LOW_PRESSURE - pressure) / RETURN_RANGE).min(1.0);
+                -MAX_DECLINE_PER_SECOND * elapsed * part
             }
             _ => 0.0,
         };
@@ -110,10 +156,32 @@
         self.share = (self.share + step.clamp(-max_step, max_step)).clamp(0.0, 1.0);
     }
 
-    /// Returns whether a request runs outside. `point` is a number from 0 to 1 that is fixed for an object, so that the
-    /// same objects run outside and stay warm there.
-    pub fn is_spilled(&self, point: f64) -> bool {
-        point < self.share
+    /// Selects whether a request is to run outside. `point` is a number from 0 to 1 that is fixed for an object, so that the
+    /// same objects run outside and stay warm there. A request whose object would take the host too far from its share runs
+    /// on the other side, as objects come unevenly.
+    pub fn select_spilled(&mut self, point: f64) -> bool {
+        let RegionRoom { inside, outside } = self.room;
+        let served = (inside / outside.max(MIN_ROOM)).clamp(MIN_ROOM, 1.0);
+        let spilled = self.share * served / (1.0 - self.share + self.share * served);
+        let tolerance = if served < SHORT_ROOM { 0.0 } else { SPILL_TOLERANCE };
+        self.due_outside += spilled;
+        let is_spilled = match self.due_outside {
+            due if due >= 1.0 + tolerance => true,
+            due if due <= -tolerance => false,
+            _ => point < spilled,
+        };
+        self.due_outside -= f64::from(u8::from(is_spilled));
+        is_spilled
+    }
+
+    /// Takes one of the few requests that were to run outside and found no room there, to run it inside; `false` if too many
+    /// returned lately.
+    pub fn take_return(&mut self) -> bool {
+        let may_return = self.returns >= 1.0;
+        if may_return {
+            self.returns -= 1.0;
+        }
+        may_return
     }
 
     /// Returns whether the region lost much of its room recently, so that requests without room inside may run outside
@@ -122,6 +190,11 @@
         self.room_lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_RECOVERY_TIME)
     }
 
+    /// Returns the shares of requests that would find room lately.
+    pub fn room(&self) -> RegionRoom {
+        self.room
+    }
+
     /// Returns the current share, 0 to 1, of requests that runs outside.
     pub fn share(&self) -> f64 {
         self.share
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -21,6 +21,7 @@
 use crate::fleet::TargetTracker;
 use crate::fleet::departed_targets::DepartedTargets;
 use crate::fleet::departed_targets::TargetStatements;
+use crate::fleet::placement_candidate::Candidate;
 use crate::fleet::placement_candidate::filter_acceptable;
 use crate::fleet::service_record::ServiceRecord;
 use crate::ids::DomainId;
@@ -311,24 +312,31 @@
             return Err(self.refusal_without_candidate(request, now));
         };
         let mut spill = self.spill_of(request.service, now);
-        spill.update_share(pressure.inside, pressure.outside, now);
-        if let Some(mean) = self.neighbour_spill_shares.get(request.service) {
-            spill.approach_mean(*mean, now);
-        }
-        let may_spill = inside.is_none() || spill.has_recent_loss(now);
-        let is_spilled = spill.is_spilled(spill_point(request.object_hash));
-        let chosen = match is_spilled {
-            true => filter_acceptable(outside, request).or(filter_acceptable(inside, request)),
-            false => filter_acceptable(inside, request)
-                .or(filter_acceptable(outside, request).filter(|_| may_spill)),
+        let acceptable = (filter_acceptable(inside, request), filter_acceptable(outside, request));
+        let chosen = match self.may_run_on_both_sides(request) {
+            true => {
+                spill.record_room(acceptable.0.is_some(), acceptable.1.is_some(), now);
+                spill.update_share(pressure.inside, pressure.outside, now);
+                if let Some(mean) = self.neighbour_spill_shares.get(request.service) {
+                    spill.approach_mean(*mean, now);
+                }
+                self.choose_side(request, acceptable, &mut spill, now)
+            }
+            false => acceptable.0.or(acceptable.1),
         };
-        if !is_spilled {
-            spill.record_decision(chosen.is_none());
-        }
         let Some(best) = chosen else {
+            let refusal = match inside {
+                None => self.refusal_without_candidate(request, now),
+                Some(_) => PlacementRefusal::NoTarget,
+            };
             let wait = Duration::from_secs_f64(best.wait_seconds);
             self.set_spill(request.service, spill);
-            return Err(PlacementRefusal::Busy { wait, pressure: pressure.inside });
+            return Err(match refusal {
+                PlacementRefusal::NoTarget => {
+                    PlacementRefusal::Busy { wait, pressure: pressure.inside }
+                }
+                closed => closed,
+            });
         };
         let choice = PlacementChoice {
             target: best.record.entry.target.clone(),
@@ -346,6 +354,48 @@
         Ok(choice)
     }
 
+    /// Selects the target inside or outside the region, of which the share that runs outside allows one. A side on which no
+    /// target is left is not waited for.
+    fn choose_side<'a>(
+        &self,
+        request: &PlacementRequest<'_>,
+        (inside, outside): (Option<Candidate<'a>>, Option<Candidate<'a>>),
+        spill: &mut SpillController,
+        now: Instant,
+    ) -> Option<Candidate<'a>> {
+        match (spill.select_spilled(spill_point(request.object_hash)), inside, outside) {
+            (true, _, Some(outside)) => Some(outside),
+            (false, Some(inside), _) => Some(inside),
+            (true, Some(inside), None) => {
+                let may_return = !self.has_target(request, true) || spill.take_return();
+                may_return.then_some(inside)
+            }
+            (false, None, Some(outside)) => {
+                let may_spill = spill.has_recent_loss(now) || !self.has_target(request, false);
+                may_spill.then_some(outside)
+            }
+            (_, None, None) => None,
+        }
+    }
+
+    /// Whether a request may run inside as well as outside the region.
+    fn may_run_on_both_sides(&self, request: &PlacementRequest<'_>) -> bool {
+        let regions = request.allowed_regions;
+        regions.is_empty() || regions.len() > 1 && regions.contains(&self.own_host.region)
+    }
+
+    /// Whether a target inside or outside the region takes requests, now or after its limit, its pause or its cold time.
+    fn has_target(&self, request: &PlacementRequest<'_>, is_outside: bool) -> bool {
+        let service = self.services.get(request.service);
+        let names = service.into_iter().flat_map(|service| &service.targets);
+        names.filter_map(|name| self.targets.get(name)).any(|record| {
+            (record.entry.region != self.own_host.region) == is_outside
+                && self.takes_requests(record)
+                && is_region_allowed(record, request)
+                && !request.excluded_targets.contains(&record.entry.target)
+        })
+    }
+
     pub(super) fn takes_requests(&self, record: &TargetRecord) -> bool {
         record.entry.state == TargetState::Ready
             && !record.tracker.is_leaving
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -123,8 +123,9 @@
     refused_requests_are_pressure_too: |now: Instant| {
         let mut spill = SpillController::new(0.0, now);
         for step in 0..600 {
-            spill.record_decision(step % 2 == 0);
-            spill.update_share(0.8, 0.8, now + Duration::from_millis(step * 10));
+            let later = now + Duration::from_millis(step * 10);
+            spill.record_room(step % 2 == 0, true, later);
+            spill.update_share(0.8, 0.8, later);
         }
         assert!(spill.share() > 0.2, "{}", spill.share());
     };
@@ -204,7 +205,7 @@
             spill.update_share(1.2, 0.1, now + Duration::from_millis(step * 10));
         }
         let share = spill.share();
-        assert!(share > 0.2 && spill.is_spilled(share / 2.0) && !spill.is_spilled(share * 1.1));
+        assert!(share > 0.2 && spill.select_spilled(share / 2.0) && !spill.select_spilled(share * 1.1));
     };
     hosts_of_a_region_send_an_object_to_the_same_target: |now| {
         let mut balancers = [balancer("h1", "d1", "r1", now), balancer("h2", "d2", "r1", now)];
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -26,7 +26,7 @@
 const SMALL_FLEET: usize = 10;
 /// Largest share of a region's requests that may change the region in which they run from one window to the next.
 const MAX_SHIFT: f64 = 0.15;
-const SHIFT_SEEDS: u64 = 2;
+const SHIFT_SEEDS: u64 = 6;
 /// Time for which each limit is in force.
 const LIMIT_TIME: Duration = Duration::from_secs(12);
 /// Longest time after its end for which hosts keep to a limit, also of a target that gets no requests.
--- a/crates/coordination/tests/support/limit_model.rs
+++ b/crates/coordination/tests/support/limit_model.rs
@@ -25,7 +25,10 @@
 const OBJECTS: u64 = 400;
 const DOMAINS: usize = 6;
 const REGIONS: usize = 3;
-const SHIFT_WINDOW: Duration = Duration::from_secs(2);
+/// Step by which the windows of two seconds slide in which shifts are counted, and the time from the start that is left out.
+const SHIFT_STEP: Duration = Duration::from_millis(100);
+const SHIFT_WINDOW_STEPS: usize = 20;
+const SHIFT_START_STEPS: usize = 40;
 /// The rule: a window, its tolerance, and when a host and a limit start to count.
 const WINDOW: Duration = Duration::from_secs(4);
 const NOTICE_TIME: Duration = Duration::from_millis(500);
@@ -67,7 +70,7 @@
     region_runs: Vec<RegionRuns>,
 }
 
-/// Requests of one window, by region of the host and region of the target that ran them.
+/// Requests of one step, by region of the host and region of the target that ran them.
 type RegionRuns = [[usize; REGIONS]; REGIONS];
 
 struct ModelHost {
@@ -151,15 +154,25 @@
     }
 
     /// Largest share of a region's requests that changed the region in which they ran from one window to the next, and the
-    /// number of windows compared. The first two windows are left out.
+    /// number of pairs of whole windows compared.
     pub fn largest_shift(&self) -> (f64, usize) {
-        let pairs = self.region_runs.windows(2).skip(2);
-        let shifts = pairs.flat_map(|pair| {
-            (0..REGIONS).map(|region| shifted_share(&pair[0][region], &pair[1][region]))
+        let whole = self.region_runs.len().saturating_sub(1);
+        let ends =
+            SHIFT_START_STEPS + SHIFT_WINDOW_STEPS..=whole.saturating_sub(SHIFT_WINDOW_STEPS);
+        let shifts = ends.flat_map(|end| {
+            (0..REGIONS).map(move |region| {
+                let before = self.region_window(region, end - SHIFT_WINDOW_STEPS);
+                shifted_share(&before, &self.region_window(region, end))
+            })
         });
         shifts.fold((0.0, 0), |(largest, count), shift| (shift.max(largest), count + 1))
     }
 
+    fn region_window(&self, region: usize, from: usize) -> [usize; REGIONS] {
+        let steps = &self.region_runs[from..from + SHIFT_WINDOW_STEPS];
+        std::array::from_fn(|target| steps.iter().map(|step| step[region][target]).sum())
+    }
+
     /// Share of requests that were refused since the limit was set.
     pub fn refused_share(&self) -> f64 {
         self.refused as f64 / self.requests.max(1) as f64
@@ -187,12 +200,11 @@
             let state = &mut self.hosts[host];
             match request.choose_target(&mut state.balancer, self.now) {
                 Ok(choice) => {
-                    let window =
-                        (self.now - self.started_at).as_millis() / SHIFT_WINDOW.as_millis();
-                    let windows = self.region_runs.len().max(window as usize + 1);
-                    self.region_runs.resize(windows, RegionRuns::default());
+                    let step = (self.now - self.started_at).as_millis() / SHIFT_STEP.as_millis();
+                    let steps = self.region_runs.len().max(step as usize + 1);
+                    self.region_runs.resize(steps, RegionRuns::default());
                     let regions = (region(host), region(target_number(&choice.target)));
-                    self.region_runs[window as usize][regions.0][regions.1] += 1;
+                    self.region_runs[step as usize][regions.0][regions.1] += 1;
                     let told_at = state.told_at.get(&choice.target);
                     if told_at.is_some_and(|at| self.now >= *at + NOTICE_TIME) {
                         let arrivals = self.arrivals.entry(choice.target.clone()).or_default();
