Where limits or pauses close a region the share is kept to by what runs, else by objects

Requests that a region outside has no room for are exchanged with another one, a few at a time. tests/shifts.rs plays each trouble at three sizes and loads, and pairs within two seconds, by hand.

--- a/crates/coordination/src/fleet/candidate_scoring.rs
+++ b/crates/coordination/src/fleet/candidate_scoring.rs
@@ -137,20 +137,6 @@
         if all > 0.0 { surplus_share(self.caller_share, inside / all) } else { 0.0 }
     }
 
-    /// Stores the spill state of a service after a request, and the region outside for which the request was selected.
-    pub(super) fn set_spill(
-        &mut self,
-        service: &ServiceId,
-        spill: SpillController,
-        spilled_to: Option<&RegionId>,
-    ) {
-        let Some(service) = self.services.get_mut(service) else { return };
-        service.spill = Some(spill);
-        if let (Some(region), Some(split)) = (spilled_to, &mut service.split) {
-            split.record_selection(region);
-        }
-    }
-
     /// Estimates the requests of all hosts on a target from this host's own and from the latest reports.
     pub(super) fn load_of(
         &self,
--- a/crates/coordination/src/fleet/region_split.rs
+++ b/crates/coordination/src/fleet/region_split.rs
@@ -15,6 +15,10 @@
 const MIN_OUTSIDE_SHARE: f64 = 0.1;
 /// Requests by which a host may be ahead of a region's part or behind it, so that objects stay in their region.
 const PART_TOLERANCE: f64 = 2.0;
+/// Requests that a region may have taken for others before these take some for it, and the part of the requests outside by
+/// which that is forgotten.
+const MAX_TAKEN: f64 = 1.5;
+const EXCHANGE_SHARE: f64 = 0.05;
 
 /// Parts, 0 to 1, of a service's requests outside that run in each of the other regions.
 #[derive(Clone, Debug)]
@@ -31,6 +35,8 @@
     hash: u64,
     /// Requests that are due in the region by its part and were not selected yet; negative if too many were.
     due: f64,
+    /// Requests that the region took for others and not given back yet; negative if others took more.
+    taken: f64,
 }
 
 impl RegionSplit {
@@ -39,7 +45,10 @@
         let all: f64 = rooms.values().sum();
         let parts = rooms.iter().map(|(region, room)| {
             let part = if all > 0.0 { room / all } else { 1.0 / rooms.len() as f64 };
-            (region.clone(), RegionPart { part, hash: rendezvous_score(&[region]), due: 0.0 })
+            (
+                region.clone(),
+                RegionPart { part, hash: rendezvous_score(&[region]), due: 0.0, taken: 0.0 },
+            )
         });
         Self { parts: parts.collect(), updated_at: now, outside_share }
     }
@@ -96,10 +105,25 @@
         self.select_home(object_hash, |region, _| allowed_regions.contains(region))
     }
 
-    /// Records that a request was selected for a region outside, whether it found room there or not.
+    /// Records that a request that was selected for a region outside runs outside.
     pub(super) fn record_selection(&mut self, region: &RegionId) {
         for (known, part) in &mut self.parts {
             part.due += part.part - f64::from(u8::from(known == region));
+            part.taken -= part.taken.clamp(-EXCHANGE_SHARE, EXCHANGE_SHARE);
+        }
+    }
+
+    /// Whether a region may take a request that was selected for another one, which has no room for it.
+    pub(super) fn may_take(&self, region: &RegionId) -> bool {
+        self.parts.get(region).is_none_or(|part| part.taken < MAX_TAKEN)
+    }
+
+    /// Records that a region took a request that was selected for another one.
+    pub(super) fn record_exchange(&mut self, selected: &RegionId, region: &RegionId) {
+        for (known, change) in [(selected, -1.0), (region, 1.0)] {
+            if let Some(part) = self.parts.get_mut(known) {
+                part.taken += change;
+            }
         }
     }
 
--- a/crates/coordination/src/fleet/side_choice.rs
+++ b/crates/coordination/src/fleet/side_choice.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::PlacementRequest;
 use crate::fleet::SpillController;
+use crate::fleet::SpillSide;
 use crate::fleet::TargetBalancer;
 use crate::fleet::placement_candidate::Candidate;
 use crate::fleet::placement_candidate::RegionPressure;
@@ -28,7 +29,8 @@
 /// Time between two updates of the division among other regions.
 const SPLIT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Target selected for a request, and whether the request was selected to run outside.
+/// Target selected for a request, and whether the request was to run outside.
+#[derive(Clone, Copy)]
 pub(super) struct SideChoice<'a> {
     pub(super) candidate: Option<Candidate<'a>>,
     pub(super) is_spilled: bool,
@@ -107,7 +109,7 @@
         let split = service.split.as_ref()?;
         let object_hash = mix_hashes(SPLIT_SALT, request.object_hash.unwrap_or_else(rand::random));
         match request.allowed_regions {
-            [] => split.select(object_hash, service.spill.as_ref().is_some_and(|s| s.is_short())),
+            [] => split.select(object_hash, service.spill.as_ref().is_some_and(|s| s.is_closed())),
             allowed => split.select_allowed(object_hash, allowed),
         }
     }
@@ -131,32 +133,72 @@
         if !self.may_run_on_both_sides(request) {
             return SideChoice { candidate: inside.or(outside).or(elsewhere), is_spilled: false };
         }
-        let far = outside.or(elsewhere);
-        spill.record_room(inside.is_some(), far.is_some(), now);
+        let is_open = candidates.iter().any(|candidate| candidate.side == TargetSide::Inside);
+        spill.record_room(is_open, inside.is_some(), outside.or(elsewhere).is_some(), now);
         spill.update_share(pressure.inside, pressure.outside, now);
         if let Some(mean) = self.neighbour_spill_shares.get(request.service) {
             spill.approach_mean(*mean, now);
         }
-        let is_open = |region: Option<&RegionId>| {
-            region.is_none_or(|region| self.is_region_open(request, region, now))
+        let is_lost = |region: &RegionId| self.is_region_lost(request, region, now);
+        let far = match (outside, elsewhere) {
+            (None, Some(other)) if self.may_exchange(request, far_region, &other, now) => {
+                Some(other)
+            }
+            (outside, _) => outside,
         };
-        let is_spilled = spill.select_spilled(spill_point(request.object_hash));
-        let chosen = match (is_spilled, inside, outside) {
-            (true, _, Some(outside)) => Some(outside),
-            (true, inside, None) => {
-                let is_open = is_open(far_region);
-                let elsewhere = elsewhere.filter(|_| is_open || spill.take_change());
-                elsewhere.or_else(|| inside.filter(|_| is_open || spill.take_return()))
+        let point = spill_point(request.object_hash);
+        let selection = spill.select_side(point, inside.is_some(), far.is_some());
+        let candidate = match selection.side {
+            Some(SpillSide::Inside) => inside,
+            Some(SpillSide::Outside) => far,
+            None if inside.is_none() => {
+                far.or(elsewhere).filter(|_| is_lost(&self.own_host.region))
             }
-            (false, Some(inside), _) => Some(inside),
-            (false, None, _) => far.filter(|_| is_open(Some(&self.own_host.region))),
+            None => inside.filter(|_| far_region.is_none_or(is_lost)),
         };
-        spill.record_run(chosen.is_some());
-        SideChoice { candidate: chosen, is_spilled }
+        let ran = candidate.map(|chosen| match chosen.side {
+            TargetSide::Inside => SpillSide::Inside,
+            TargetSide::Outside | TargetSide::Elsewhere => SpillSide::Outside,
+        });
+        spill.record_run(selection, ran);
+        SideChoice { candidate, is_spilled: selection.is_spilled }
+    }
+
+    /// Whether a request runs in another region outside than the selected one, which has no room for it.
+    fn may_exchange(
+        &self,
+        request: &PlacementRequest<'_>,
+        far_region: Option<&RegionId>,
+        other: &Candidate<'_>,
+        now: Instant,
+    ) -> bool {
+        let Some(far_region) = far_region else { return true };
+        let service = self.services.get(request.service);
+        let split = service.and_then(|service| service.split.as_ref());
+        split.is_none_or(|split| split.may_take(&other.record.entry.region))
+            || self.is_region_lost(request, far_region, now)
+    }
+
+    /// Stores the spill state of a service after a request. `selected` is the region outside selected for a request that may
+    /// run in any region and was to run outside, and `elsewhere` the one in which it runs instead.
+    pub(super) fn record_side(
+        &mut self,
+        service: &ServiceId,
+        spill: SpillController,
+        selected: Option<RegionId>,
+        elsewhere: Option<RegionId>,
+    ) {
+        let Some(service) = self.services.get_mut(service) else { return };
+        service.spill = Some(spill);
+        let (Some(split), Some(selected)) = (&mut service.split, selected) else { return };
+        split.record_selection(&selected);
+        if let Some(elsewhere) = elsewhere {
+            split.record_exchange(&selected, &elsewhere);
+        }
     }
 
     /// Whether requests that are to run in a region may run in others at once.
-    fn is_region_open(
+    fn is_region_lost(
         &self,
         request: &PlacementRequest<'_>,
         region: &RegionId,
--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -32,8 +32,9 @@
 /// Time constant of the moving average of the pressure: a few service times.
 const PRESSURE_AVERAGE_TIME: Duration = Duration::from_millis(500);
 
-/// Time constant of the moving averages of how many requests find room, and the bounds of the weight of one request.
-const ROOM_AVERAGE_TIME: Duration = Duration::from_millis(300);
+/// Time constant of the moving averages of how many requests find targets and room, and the bounds of the weight of one request.
+const ROOM_AVERAGE_TIME: Duration = Duration::from_millis(500);
+const OPEN_AVERAGE_TIME: Duration = Duration::from_millis(300);
 const ROOM_WEIGHT_BOUNDS: (f64, f64) = (0.03, 0.5);
 /// Lower bound of the share of requests that finds room, so that quotients stay bounded.
 const MIN_ROOM: f64 = 0.1;
@@ -41,16 +42,16 @@
 /// more room.
 const ROOM_DIFFERENCE: f64 = 0.2;
 /// Requests by which a host may be ahead of its share or behind it, so that objects stay on their side.
-const SPILL_TOLERANCE: f64 = 1.0;
-/// Share of requests that find room inside, compared to outside, below which a host keeps to its share without tolerance: of
-/// the few objects of a small share some are more popular than others.
-const SHORT_ROOM: f64 = 0.5;
-/// Requests that are due outside at most in a region short of room. If more are, those outside have no room for the share.
+const SPILL_TOLERANCE: f64 = 1.5;
+/// Requests that are due outside at most in a closed region. If more are, those outside have no room for the share.
 const MAX_DUE: f64 = 1.5;
-/// Share of requests that find room inside below which the region counts as closed.
-const CLOSED_ROOM: f64 = 0.02;
-/// Part of all requests that may run in another region than the selected one, where no target takes them.
-const CHANGE_SHARE: f64 = 0.03;
+/// Share of requests that find an open target inside below which the region is closed. A host then keeps to its share without
+/// tolerance: of the few objects of a small share some are more popular than others.
+const CLOSED_SHARE: f64 = 0.5;
+/// The same below which no target is open at all.
+const NO_TARGET_SHARE: f64 = 0.02;
+/// Part of all requests that may run inside although they were to run outside, where no target takes them.
+const RETURN_SHARE: f64 = 0.05;
 
 /// Least surplus that a host sends outside from its start; a smaller one is ignored, because the shares of callers and
 /// slots are estimates.
@@ -70,9 +71,11 @@
     pressure: f64,
     /// Shares of requests that would find room inside and outside the region.
     room: RegionRoom,
-    /// Requests that may run in another region than the selected one, at most 1.
-    changes: f64,
-    /// Requests that are due outside by the share and were not selected yet; negative if too many were.
+    /// Share of requests, 0 to 1, for which any target inside was open.
+    open_share: f64,
+    /// Requests that may return inside, at most 1.
+    returns: f64,
+    /// Requests that are due outside by the share; negative if too many were selected or ran there.
     due_outside: f64,
     decided_at: Instant,
     updated_at: Instant,
@@ -80,6 +83,24 @@
     room_lost_at: Option<Instant>,
 }
 
+/// Side of a region's border on which a request runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SpillSide {
+    /// In the region of its host.
+    Inside,
+    /// In another region.
+    Outside,
+}
+
+/// Side selected for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SideSelection {
+    /// Side on which the request runs; `None` if the share allows neither of those with room.
+    pub side: Option<SpillSide>,
+    /// Whether the request was to run outside if both sides had room.
+    pub is_spilled: bool,
+}
+
 /// Shares of requests, 0 to 1, that would find room on the two sides of a region's border.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RegionRoom {
@@ -96,8 +117,9 @@
             share,
             pressure: 0.0,
             room: RegionRoom { inside: 1.0, outside: 1.0 },
-            changes: 1.0,
-            due_outside: rand::random(),
+            open_share: 1.0,
+            returns: 1.0,
+            due_outside: share * rand::random::<f64>(),
             decided_at: now,
             updated_at: now,
             approached_at: now,
@@ -110,17 +132,19 @@
         self.room_lost_at = Some(now);
     }
 
-    /// Records whether a request would find room inside and outside the region, wherever it runs.
-    pub fn record_room(&mut self, inside: bool, outside: bool, now: Instant) {
+    /// Records whether a request would find an open target inside, and room there and outside, wherever it runs.
+    pub fn record_room(&mut self, is_open: bool, inside: bool, outside: bool, now: Instant) {
         let elapsed = now.saturating_duration_since(self.decided_at).as_secs_f64();
         self.decided_at = now;
-        let weight = 1.0 - (-elapsed / ROOM_AVERAGE_TIME.as_secs_f64()).exp();
-        let weight = weight.clamp(ROOM_WEIGHT_BOUNDS.0, ROOM_WEIGHT_BOUNDS.1);
-        let RegionRoom { inside: known_inside, outside: known_outside } = &mut self.room;
-        for (known, found) in [(known_inside, inside), (known_outside, outside)] {
+        let average = |known: &mut f64, found: bool, time: Duration| {
+            let weight = 1.0 - (-elapsed / time.as_secs_f64()).exp();
+            let weight = weight.clamp(ROOM_WEIGHT_BOUNDS.0, ROOM_WEIGHT_BOUNDS.1);
             *known += weight * (f64::from(u8::from(found)) - *known);
-        }
-        self.changes = (self.changes + CHANGE_SHARE).min(1.0);
+        };
+        average(&mut self.room.inside, inside, ROOM_AVERAGE_TIME);
+        average(&mut self.room.outside, outside, ROOM_AVERAGE_TIME);
+        average(&mut self.open_share, is_open, OPEN_AVERAGE_TIME);
+        self.returns = (self.returns + RETURN_SHARE).min(1.0);
     }
 
     /// Moves the share by the current requests per slot inside and outside the region.
@@ -137,7 +161,7 @@
             false => MAX_CHANGE_PER_SECOND,
         };
         let step = match self.pressure {
-            _ if self.is_short() && self.due_outside > MAX_DUE => -MAX_CHANGE_PER_SECOND * elapsed,
+            _ if self.is_closed() && self.due_outside > MAX_DUE => -MAX_CHANGE_PER_SECOND * elapsed,
             _ if room + ROOM_DIFFERENCE < outside_room => growth * elapsed,
             _ if outside_room + ROOM_DIFFERENCE < room => -MAX_CHANGE_PER_SECOND * elapsed,
             pressure if pressure > HIGH_PRESSURE && pressure > outside => growth * elapsed,
@@ -160,60 +184,61 @@
         self.share = (self.share + step.clamp(-max_step, max_step)).clamp(0.0, 1.0);
     }
 
-    /// Selects whether a request is to run outside. `point` is a number from 0 to 1 that is fixed for an object, so that the
-    /// same objects run outside and stay warm there. A request whose object would take the host too far from its share runs
-    /// on the other side, as objects come unevenly.
-    pub fn select_spilled(&mut self, point: f64) -> bool {
-        let ratio = self.room_ratio();
-        let spilled = self.share * ratio / (1.0 - self.share + self.share * ratio);
+    /// Selects the side on which a request runs, of those that have room for it. `point` is a number from 0 to 1 that is
+    /// fixed for an object, so that the same objects run outside and stay warm there. A request whose object would take the
+    /// host too far from its share runs on the other side, as objects come unevenly.
+    pub fn select_side(&mut self, point: f64, inside: bool, outside: bool) -> SideSelection {
         let is_spilled = match self.due_outside {
-            due if self.is_short() => due >= 1.0,
+            due if self.is_closed() => due >= 1.0,
             due if due >= 1.0 + SPILL_TOLERANCE => true,
             due if due <= -SPILL_TOLERANCE => false,
-            _ => point < spilled,
+            _ => point < self.spilled_part(),
         };
-        self.due_outside -= f64::from(u8::from(is_spilled));
-        is_spilled
-    }
-
-    /// Whether the region has much less room than others.
-    pub(super) fn is_short(&self) -> bool {
-        self.room_ratio() < SHORT_ROOM
+        let side = match (inside, outside) {
+            (_, true) if is_spilled => Some(SpillSide::Outside),
+            (true, _) if !is_spilled || self.is_closed() || self.take_return() => {
+                Some(SpillSide::Inside)
+            }
+            _ => None,
+        };
+        SideSelection { side, is_spilled }
     }
 
-    fn room_ratio(&self) -> f64 {
-        (self.room.inside / self.room.outside.max(MIN_ROOM)).clamp(MIN_ROOM, 1.0)
+    /// Records the side selected for a request and where it runs, if it does. In a closed region the share is one of the requests that
+    /// run; where no target is open at all, refused ones count a little, so that the region is not left without service.
+    pub fn record_run(&mut self, selection: SideSelection, ran: Option<SpillSide>) {
+        let is_outside = match self.is_closed() {
+            true => ran == Some(SpillSide::Outside),
+            false => selection.is_spilled,
+        };
+        let due = match ran {
+            _ if !self.is_closed() => self.spilled_part(),
+            Some(_) => self.share,
+            None if self.open_share < NO_TARGET_SHARE => self.share * MIN_ROOM,
+            None => 0.0,
+        };
+        let due = self.due_outside + due - f64::from(u8::from(is_outside));
+        self.due_outside = due.clamp(-1.0 - SPILL_TOLERANCE, 1.0 + MAX_DUE);
     }
 
-    /// Records whether the selected request runs. Of the requests that run, the share is due outside. Where next to none finds
-    /// room inside, refused ones count a little, so that the region is not left without service.
-    pub fn record_run(&mut self, is_run: bool) {
-        let count = match is_run {
-            true => 1.0,
-            false if self.room.inside < CLOSED_ROOM => MIN_ROOM,
-            false => 0.0,
-        };
-        let bound = MAX_DUE + if self.is_short() { 1.0 } else { SPILL_TOLERANCE };
-        self.due_outside = (self.due_outside + self.share * count).min(bound);
+    /// Part of the requests to select for outside, so that the share of those that find room runs there.
+    fn spilled_part(&self) -> f64 {
+        let RegionRoom { inside, outside } = self.room;
+        let ratio = (inside / outside.max(MIN_ROOM)).clamp(MIN_ROOM, 1.0);
+        self.share * ratio / (1.0 - self.share + self.share * ratio)
     }
 
-    /// Returns whether a request that was selected to run outside and found no room there may run inside. In a region short of
-    /// room it takes what another one would take, and the next one is selected in its place; else few may.
-    pub fn take_return(&mut self) -> bool {
-        if self.is_short() {
-            self.due_outside += 1.0;
-            return true;
-        }
-        self.take_change()
+    /// Whether limits or pauses keep most requests from the region's targets.
+    pub(super) fn is_closed(&self) -> bool {
+        self.open_share < CLOSED_SHARE
     }
 
-    /// Returns whether a request that was selected to run in one region may run in another one, which few may.
-    pub fn take_change(&mut self) -> bool {
-        let may_change = self.changes >= 1.0;
-        if may_change {
-            self.changes -= 1.0;
+    fn take_return(&mut self) -> bool {
+        let may_return = self.returns >= 1.0;
+        if may_return {
+            self.returns -= 1.0;
         }
-        may_change
+        may_return
     }
 
     /// Returns whether the region lost much of its room recently, so that requests without room inside may run outside
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -272,7 +272,10 @@
         };
         let mut spill = self.spill_of(request.service, now);
         let side = self.choose_side(request, far_region, &candidates, pressure, &mut spill, now);
-        let spilled_to = far_region.filter(|_| side.is_spilled).cloned();
+        let is_counted = side.is_spilled && request.allowed_regions.is_empty();
+        let selected = far_region.filter(|_| is_counted).cloned();
+        let elsewhere = side.candidate.filter(|chosen| chosen.side == TargetSide::Elsewhere);
+        let elsewhere = elsewhere.map(|chosen| chosen.record.entry.region.clone());
         let result = match side.candidate {
             Some(chosen) => Ok(chosen.choice(pressure.inside)),
             None => {
@@ -286,7 +289,7 @@
                 })
             }
         };
-        self.set_spill(request.service, spill, spilled_to.as_ref());
+        self.record_side(request.service, spill, selected, elsewhere);
         if let Ok(choice) = &result {
             self.record_start(&choice.target, request.object_hash, now);
         }
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -17,6 +17,7 @@
 use coordination::fleet::PlacementRefusal;
 use coordination::fleet::RouteSplit;
 use coordination::fleet::SpillController;
+use coordination::fleet::SpillSide;
 use coordination::fleet::TargetBalancer;
 use coordination::fleet::TargetEntry;
 use coordination::fleet::TargetLoad;
@@ -124,7 +125,7 @@
         let mut spill = SpillController::new(0.0, now);
         for step in 0..600 {
             let later = now + Duration::from_millis(step * 10);
-            spill.record_room(step % 2 == 0, true, later);
+            spill.record_room(true, step % 2 == 0, true, later);
             spill.update_share(0.8, 0.8, later);
         }
         assert!(spill.share() > 0.2, "{}", spill.share());
@@ -205,7 +206,9 @@
             spill.update_share(1.2, 0.1, now + Duration::from_millis(step * 10));
         }
         let share = spill.share();
-        assert!(share > 0.2 && spill.select_spilled(share / 2.0) && !spill.select_spilled(share * 1.1));
+        assert!(share > 0.2);
+        assert_eq!(spill.select_side(share / 2.0, true, true).side, Some(SpillSide::Outside));
+        assert_eq!(spill.select_side(share * 1.1, true, true).side, Some(SpillSide::Inside));
     };
     hosts_of_a_region_send_an_object_to_the_same_target: |now| {
         let mut balancers = [balancer("h1", "d1", "r1", now), balancer("h2", "d2", "r1", now)];
--- a/crates/coordination/tests/shifts.rs
+++ b/crates/coordination/tests/shifts.rs
@@ -37,6 +37,7 @@
     trouble: TargetTrouble::None,
     region: 0,
     share: 1.0,
+    second: None,
 };
 const BUSY: ShiftCase = ShiftCase { load: 0.65, ..CALM };
 const FULL: ShiftCase = ShiftCase { load: 0.87, ..CALM };
@@ -103,6 +104,66 @@
         ShiftCase { trouble: TargetTrouble::Closed(seconds(8)), ..BUSY } => refused 0.15;
 }
 
+const TROUBLES: [(TargetTrouble, f64); 11] = [
+    (TargetTrouble::Limits(Duration::from_secs(10)), 1.0),
+    (TargetTrouble::Limits(Duration::from_secs(10)), 0.3),
+    (TargetTrouble::Pauses(Duration::from_secs(4)), 1.0),
+    (TargetTrouble::Pauses(Duration::from_secs(4)), 0.3),
+    (TargetTrouble::Leaving, 0.5),
+    (TargetTrouble::Leaving, 0.2),
+    (TargetTrouble::Gone, 0.2),
+    (TargetTrouble::Gone, 0.05),
+    (TargetTrouble::Crashes(Duration::from_secs(1)), 0.6),
+    (TargetTrouble::Restarts(Duration::from_millis(300)), 0.5),
+    (TargetTrouble::Closed(Duration::from_secs(8)), 1.0),
+];
+/// Numbers of hosts, and targets in each region.
+const SIZES: [(usize, usize); 3] = [(10, 8), (82, 47), (195, 60)];
+
+/// Plays cases with several seeds each and prints the largest figures.
+fn check_cases(cases: Vec<ShiftCase>, seeds: u64) {
+    let mut broken = 0;
+    for case in cases {
+        let reports: Vec<_> = (0..seeds).map(|seed| play(case, seed)).collect();
+        let shift = reports.iter().fold(0.0, |largest: f64, report| largest.max(report.0));
+        let refused = reports.iter().fold(0.0, |largest: f64, report| largest.max(report.1));
+        let ShiftCase { trouble, share, second, load, hosts, .. } = case;
+        println!(
+            "case: {hosts} hosts, {load:.2}, {trouble:?} {share} {second:?}: {shift:.2}, refused {refused:.3}"
+        );
+        broken += usize::from(shift > MAX_SHIFT);
+    }
+    assert_eq!(broken, 0, "cases that shift too much");
+}
+
+#[test]
+#[ignore = "plays for minutes, in a release build"]
+fn each_trouble_at_each_size_and_load_shifts_slowly() {
+    let mut cases = Vec::new();
+    for (hosts, targets) in SIZES {
+        for load in [0.44, 0.65, 0.87] {
+            for (trouble, share) in TROUBLES {
+                let targets = [targets; 3];
+                cases.push(ShiftCase { hosts, targets, load, trouble, share, ..CALM });
+            }
+        }
+    }
+    check_cases(cases, 4);
+}
+
+#[test]
+#[ignore = "plays for minutes, in a release build"]
+fn two_troubles_within_seconds_shift_slowly() {
+    let mut cases = Vec::new();
+    for (trouble, share) in TROUBLES {
+        for (later, part) in TROUBLES {
+            let second = Some((seconds(2), later, part));
+            cases.push(ShiftCase { hosts: 24, trouble, share, second, ..BUSY });
+        }
+    }
+    check_cases(cases, 2);
+}
+
 /// Without a target left inside, callers are served outside at once, beyond the share that may change.
 #[test]
 fn callers_of_a_region_that_lost_all_targets_are_served() {
--- a/crates/coordination/tests/support/shift_model.rs
+++ b/crates/coordination/tests/support/shift_model.rs
@@ -87,6 +87,8 @@
     pub region: usize,
     /// Part of the targets of that region to which it happens.
     pub share: f64,
+    /// What happens later to other targets of the region: the delay, the trouble and the part of the targets.
+    pub second: Option<(Duration, TargetTrouble, f64)>,
 }
 
 /// What the rule and callers see.
@@ -188,7 +190,7 @@
     /// Plays `before` without trouble, starts the trouble and plays `after`.
     pub fn play(&mut self, before: Duration, after: Duration) -> ShiftReport {
         self.play_until(self.now + before);
-        self.schedule_trouble();
+        self.schedule_troubles();
         let troubled_from = self.bin();
         self.play_until(self.now + after);
         let (shift, checks) = self.largest_shift();
@@ -215,15 +217,23 @@
         }
     }
 
-    fn schedule_trouble(&mut self) {
-        let (case, now) = (self.case, self.now);
+    fn schedule_troubles(&mut self) {
+        let case = self.case;
         let in_region = self.targets.iter().filter(|(_, target)| target.region == case.region);
-        let count = (case.targets[case.region] as f64 * case.share).round() as usize;
-        let names: Vec<TargetId> = in_region.take(count).map(|(name, _)| name.clone()).collect();
+        let names: Vec<TargetId> = in_region.map(|(name, _)| name.clone()).collect();
+        let count = |share: f64| (names.len() as f64 * share).round() as usize;
+        self.schedule_trouble(Duration::ZERO, case.trouble, &names[..count(case.share)]);
+        if let Some((delay, trouble, share)) = case.second {
+            self.schedule_trouble(delay, trouble, &names[names.len() - count(share)..]);
+        }
+    }
+
+    fn schedule_trouble(&mut self, delay: Duration, trouble: TargetTrouble, names: &[TargetId]) {
+        let (case, now) = (self.case, self.now + delay);
         let limit = f64::from(case.slots) * LIMITED_SLOTS / SERVICE_TIME.as_secs_f64();
         let mut add = |delay: Duration, event: ModelEvent| self.events.push((now + delay, event));
-        for (index, name) in names.into_iter().enumerate() {
-            match case.trouble {
+        for (index, name) in names.iter().cloned().enumerate() {
+            match trouble {
                 TargetTrouble::None => {}
                 TargetTrouble::Limits(time) => {
                     add(Duration::ZERO, ModelEvent::SetLimit(name.clone(), Some(limit)));
