--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -45,6 +45,9 @@
 /// Time after an outage of the store in which entries of live targets may be missing.
 const OUTAGE_RECOVERY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Change of a share of requests outside the region from which it is logged.
+const LOGGED_SPILL_CHANGE: f64 = 0.1;
+
 /// State that routing decisions read and change. It is guarded by one lock, which must not be held across an `await`.
 pub struct EntryCore {
     /// Known targets with their load, from which requests are placed.
@@ -75,6 +78,8 @@
     pub(super) heartbeat_number: u64,
     pub(super) warnings: WarningThrottle,
     pub(super) phase: HostPhase,
+    /// Share of requests outside the region, by service, as the log told it last.
+    pub(super) logged_spill_shares: IndexMap<ServiceId, f64>,
 }
 
 impl EntryCore {
@@ -107,6 +112,7 @@
             heartbeat_number: 0,
             warnings: WarningThrottle::default(),
             phase: HostPhase::Starting,
+            logged_spill_shares: IndexMap::new(),
         }
     }
 
@@ -243,6 +249,19 @@
         }
     }
 
+    /// Logs the shares of requests that this host sends outside its region, where they moved by `LOGGED_SPILL_CHANGE`.
+    pub(super) fn log_spill_shares(&mut self) {
+        for (service, share, room) in self.board.spill_rooms() {
+            let logged = self.logged_spill_shares.entry(service.clone()).or_default();
+            if (share - *logged).abs() >= LOGGED_SPILL_CHANGE {
+                let was = std::mem::replace(logged, share);
+                info!("share outside the region changed", kv: {
+                    service:, share:, was:, room_inside: = room.inside, room_outside: = room.outside
+                });
+            }
+        }
+    }
+
     pub(super) fn upsert_target(&mut self, entry: TargetEntry, now: Instant) {
         self.missing_targets.shift_remove(&entry.target);
         let (target, state) = (entry.target.clone(), entry.state);
--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -186,6 +186,7 @@
         board.set_neighbour_loads(&mean_loads(
             roster.recent_senders(MAX_LOAD_AGE, now).filter(is_neighbour),
         ));
+        core.log_spill_shares();
     }
 }
 
--- a/crates/coordination/src/fleet/candidate_scoring.rs
+++ b/crates/coordination/src/fleet/candidate_scoring.rs
@@ -220,7 +220,9 @@
     fn side_of(&self, record: &TargetRecord, far_region: Option<&RegionId>) -> TargetSide {
         match &record.entry.region {
             region if *region == self.own_host.region => TargetSide::Inside,
-            region if Some(region) == far_region => TargetSide::Outside,
+            region if far_region.is_none_or(|far_region| region == far_region) => {
+                TargetSide::Outside
+            }
             _ => TargetSide::Elsewhere,
         }
     }
--- a/crates/coordination/src/fleet/side_choice.rs
+++ b/crates/coordination/src/fleet/side_choice.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::fleet::PlacementRequest;
+use crate::fleet::RegionRoom;
 use crate::fleet::SpillController;
 use crate::fleet::SpillSide;
 use crate::fleet::TargetBalancer;
@@ -14,6 +15,7 @@
 use crate::fleet::placement_candidate::RegionPressure;
 use crate::fleet::placement_candidate::TargetSide;
 use crate::fleet::placement_candidate::filter_acceptable;
+use crate::fleet::region_split::OutsideRoom;
 use crate::fleet::region_split::RegionSplit;
 use crate::fleet::spill_controller::MAX_CHANGE_PER_SECOND;
 use crate::fleet::target_balancer::TargetRecord;
@@ -24,8 +26,6 @@
 
 /// Salt that makes the spill point of an object independent of its rank on targets.
 const SPILL_SALT: u64 = 0x5a17;
-/// Salt that makes the region outside of an object independent of its spill point and of its rank on targets.
-const SPLIT_SALT: u64 = 0xc3d2;
 /// Time between two updates of the division among other regions.
 const SPLIT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -56,6 +56,14 @@
         true
     }
 
+    /// Returns, for each service with requests so far, the share of them that this host sends outside its region, 0 to 1, and
+    /// the shares that would find room.
+    pub fn spill_rooms(&self) -> impl Iterator<Item = (&ServiceId, f64, RegionRoom)> {
+        let spills =
+            self.services.iter().filter_map(|(name, known)| Some((name, known.spill.as_ref()?)));
+        spills.map(|(name, spill)| (name, spill.share(), spill.room()))
+    }
+
     pub(super) fn take_target(&mut self, target: &str, now: Instant) -> Option<TargetRecord> {
         let record = self.targets.swap_remove(target)?;
         self.departed_targets.keep(&record, now);
@@ -84,38 +92,59 @@
         if updated_at.is_some_and(|at| now.saturating_duration_since(at) < SPLIT_INTERVAL) {
             return;
         }
-        let mut rooms: IndexMap<RegionId, f64> = IndexMap::new();
+        let mut rooms: IndexMap<RegionId, OutsideRoom> = IndexMap::new();
         for record in self.open_targets(service) {
             let TargetRecord { entry, tracker, .. } = record;
             if entry.region != self.own_host.region {
                 let slots = f64::from(entry.slots);
                 let usable = tracker.limit.usable_slots(slots, known.mean_service_seconds);
                 let room = rooms.entry(entry.region.clone()).or_default();
-                *room += if tracker.pause.may_send(now) { usable } else { 0.0 };
+                room.slots += slots;
+                room.usable += if tracker.pause.may_send(now) { usable } else { 0.0 };
             }
         }
         let share = known.spill.as_ref().map_or(0.0, SpillController::share);
+        let is_closed = known.spill.as_ref().is_some_and(SpillController::is_closed);
         if let Some(record) = self.services.get_mut(service) {
-            match &mut record.split {
-                Some(split) => split.update(&rooms, share, MAX_CHANGE_PER_SECOND, now),
-                None => record.split = Some(RegionSplit::new(&rooms, share, now)),
+            let split = record.split.get_or_insert_with(|| RegionSplit::new(&rooms, share, now));
+            split.update(&rooms, share, MAX_CHANGE_PER_SECOND, now);
+            if is_closed {
+                split.keep(now);
             }
         }
     }
 
-    /// Region outside in which a request is to run if it does not run inside; `None` if it may not leave its region.
-    pub(super) fn far_region(&self, request: &PlacementRequest<'_>) -> Option<&RegionId> {
+    /// Region outside in which a request is to run if it does not run inside; `None` if it may run in any of them. It is the
+    /// region of the object's home among the targets outside, weighted by how the division differs from the regions' slots.
+    pub(super) fn far_region(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Instant,
+    ) -> Option<&RegionId> {
         let service = self.services.get(request.service)?;
-        let split = service.split.as_ref()?;
-        let object_hash = mix_hashes(SPLIT_SALT, request.object_hash.unwrap_or_else(rand::random));
-        match request.allowed_regions {
-            [] => split.select(object_hash, service.spill.as_ref().is_some_and(|s| s.is_closed())),
-            allowed => split.select_allowed(object_hash, allowed),
+        let split = service.split.as_ref().filter(|split| split.is_kept(now))?;
+        if !request.allowed_regions.is_empty() {
+            return None;
         }
+        if service.spill.as_ref().is_some_and(SpillController::is_closed) {
+            return split.select_latest();
+        }
+        let object_hash = request.object_hash.unwrap_or_else(rand::random);
+        let outside = self
+            .open_targets(request.service)
+            .filter(|record| record.entry.region != self.own_host.region);
+        let scored = outside.map(|record| {
+            let point = mix_hashes(record.hash, object_hash) as f64 / u64::MAX as f64;
+            let distance = -point.max(f64::MIN_POSITIVE).ln();
+            let region = &record.entry.region;
+            (region, split.weight(region) / distance.max(f64::MIN_POSITIVE))
+        });
+        scored.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(region, _)| region)
     }
 
-    /// Selects the target that a request runs on, of the region in which the shares let it run. A region without a target left
-    /// is not waited for, nor is one that lost much of its room.
+    /// Selects the target that a request runs on, of the region in which the shares let it run. Where targets are busy, other
+    /// regions take the request and its own region takes it back; where limits or pauses close them, few do, as all requests
+    /// would move at once. A region without a target left is not waited for, nor is one that lost much of its room.
     pub(super) fn choose_side<'a>(
         &self,
         request: &PlacementRequest<'_>,
@@ -133,15 +162,23 @@
         if !self.may_run_on_both_sides(request) {
             return SideChoice { candidate: inside.or(outside).or(elsewhere), is_spilled: false };
         }
-        let is_open = candidates.iter().any(|candidate| candidate.side == TargetSide::Inside);
-        spill.record_room(is_open, inside.is_some(), outside.or(elsewhere).is_some(), now);
+        let has_open = |side: TargetSide| candidates.iter().any(|candidate| candidate.side == side);
+        spill.record_room(
+            has_open(TargetSide::Inside),
+            inside.is_some(),
+            outside.or(elsewhere).is_some(),
+            now,
+        );
         spill.update_share(pressure.inside, pressure.outside, now);
         if let Some(mean) = self.neighbour_spill_shares.get(request.service) {
             spill.approach_mean(*mean, now);
         }
         let is_lost = |region: &RegionId| self.is_region_lost(request, region, now);
         let far = match (outside, elsewhere) {
-            (None, Some(other)) if self.may_exchange(request, far_region, &other, now) => {
+            (None, Some(other))
+                if has_open(TargetSide::Outside)
+                    || self.may_exchange(request, far_region, &other, now) =>
+            {
                 Some(other)
             }
             (outside, _) => outside,
@@ -154,7 +191,10 @@
             None if inside.is_none() => {
                 far.or(elsewhere).filter(|_| is_lost(&self.own_host.region))
             }
-            None => inside.filter(|_| far_region.is_none_or(is_lost)),
+            None => {
+                let is_busy = has_open(TargetSide::Outside) || has_open(TargetSide::Elsewhere);
+                inside.filter(|_| is_busy || far_region.is_none_or(is_lost))
+            }
         };
         let ran = candidate.map(|chosen| match chosen.side {
             TargetSide::Inside => SpillSide::Inside,
@@ -180,20 +220,27 @@
     }
 
     /// Stores the spill state of a service after a request. `selected` is the region outside selected for a request that may
-    /// run in any region and was to run outside, and `elsewhere` the one in which it runs instead.
+    /// run in any region and was to run outside, and `ran` the region outside in which it runs.
     pub(super) fn record_side(
         &mut self,
         service: &ServiceId,
         spill: SpillController,
         selected: Option<RegionId>,
-        elsewhere: Option<RegionId>,
+        ran: Option<RegionId>,
     ) {
         let Some(service) = self.services.get_mut(service) else { return };
         service.spill = Some(spill);
-        let (Some(split), Some(selected)) = (&mut service.split, selected) else { return };
-        split.record_selection(&selected);
-        if let Some(elsewhere) = elsewhere {
-            split.record_exchange(&selected, &elsewhere);
+        let Some(split) = &mut service.split else { return };
+        if let Some(ran) = &ran {
+            split.record_run(ran);
+        }
+        match (selected, ran) {
+            (Some(selected), Some(ran)) if selected != ran => {
+                split.record_selection(&selected);
+                split.record_exchange(&selected, &ran);
+            }
+            (Some(selected), _) => split.record_selection(&selected),
+            (None, _) => {}
         }
     }
 
--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -2,8 +2,8 @@
 //! more callers than targets need spill. Its rate of change is limited, because otherwise, after load waves and starts,
 //! all hosts of a region would send their surplus elsewhere within one second and take it back within the next.
 //!
-//! The share is one of the requests that run: where targets of the region turn requests away, fewer are sent outside, so that
-//! the same number outside does not become a larger share.
+//! The share is one of the requests that run: where targets of the region have no room, fewer requests are sent outside, so
+//! that the same number outside does not become a larger share.
 //!
 //! Load that this answers: targets of a region that state limits, pause, leave, crash or restart while callers use most of the
 //! region's slots, and their return.
@@ -204,8 +204,9 @@
         SideSelection { side, is_spilled }
     }
 
-    /// Records the side selected for a request and where it runs, if it does. In a closed region the share is one of the requests that
-    /// run; where no target is open at all, refused ones count a little, so that the region is not left without service.
+    /// Records the side selected for a request and where it runs, if it does. In a closed region the share is one of the
+    /// requests that run; where no target is open at all, refused ones count a little, so that the region is not left without
+    /// service.
     pub fn record_run(&mut self, selection: SideSelection, ran: Option<SpillSide>) {
         let is_outside = match self.is_closed() {
             true => ran == Some(SpillSide::Outside),
@@ -241,9 +242,7 @@
         may_return
     }
 
-    /// Returns whether the region lost much of its room recently, so that requests without room inside may run outside
-    /// beyond the share.
-    pub fn has_recent_loss(&self, now: Instant) -> bool {
+    fn has_recent_loss(&self, now: Instant) -> bool {
         self.room_lost_at.is_some_and(|at| now.saturating_duration_since(at) < LOSS_RECOVERY_TIME)
     }
 
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -265,7 +265,7 @@
         now: Instant,
     ) -> Result<PlacementChoice, PlacementRefusal> {
         self.update_split(request.service, now);
-        let far_region = self.far_region(request);
+        let far_region = self.far_region(request, now);
         let (candidates, pressure) = self.candidates(request, far_region, now);
         let Some(best) = cheapest(&candidates, |_| true) else {
             return Err(self.refusal_without_candidate(request, now));
@@ -274,8 +274,8 @@
         let side = self.choose_side(request, far_region, &candidates, pressure, &mut spill, now);
         let is_counted = side.is_spilled && request.allowed_regions.is_empty();
         let selected = far_region.filter(|_| is_counted).cloned();
-        let elsewhere = side.candidate.filter(|chosen| chosen.side == TargetSide::Elsewhere);
-        let elsewhere = elsewhere.map(|chosen| chosen.record.entry.region.clone());
+        let ran = side.candidate.filter(|chosen| chosen.side != TargetSide::Inside);
+        let ran = ran.map(|chosen| chosen.record.entry.region.clone());
         let result = match side.candidate {
             Some(chosen) => Ok(chosen.choice(pressure.inside)),
             None => {
@@ -289,7 +289,7 @@
                 })
             }
         };
-        self.record_side(request.service, spill, selected, elsewhere);
+        self.record_side(request.service, spill, selected, ran);
         if let Ok(choice) = &result {
             self.record_start(&choice.target, request.object_hash, now);
         }
