--- a/crates/coordination/src/fleet/side_choice.rs
+++ b/crates/coordination/src/fleet/side_choice.rs
@@ -163,16 +163,9 @@
             return SideChoice { candidate: inside.or(outside).or(elsewhere), is_spilled: false };
         }
         let has_open = |side: TargetSide| candidates.iter().any(|candidate| candidate.side == side);
-        spill.record_room(
-            has_open(TargetSide::Inside),
-            inside.is_some(),
-            outside.or(elsewhere).is_some(),
-            now,
-        );
-        spill.update_share(pressure.inside, pressure.outside, now);
-        if let Some(mean) = self.neighbour_spill_shares.get(request.service) {
-            spill.approach_mean(*mean, now);
-        }
+        let has_room = (inside.is_some(), outside.or(elsewhere).is_some());
+        spill.record_room(has_open(TargetSide::Inside), has_room.0, has_room.1, now);
+        self.update_spill(request.service, pressure, spill, now);
         let is_lost = |region: &RegionId| self.is_region_lost(request, region, now);
         let far = match (outside, elsewhere) {
             (None, Some(other))
@@ -204,6 +197,19 @@
         SideChoice { candidate, is_spilled: selection.is_spilled }
     }
 
+    fn update_spill(
+        &self,
+        service: &ServiceId,
+        pressure: RegionPressure,
+        spill: &mut SpillController,
+        now: Instant,
+    ) {
+        spill.update_share(pressure.inside, pressure.outside, now);
+        if let Some(mean) = self.neighbour_spill_shares.get(service) {
+            spill.approach_mean(*mean, now);
+        }
+    }
+
     /// Whether a request runs in another region outside than the selected one, which has no room for it.
     fn may_exchange(
         &self,
--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -14,6 +14,8 @@
 /// Fastest change of the share per second. The platform allows 0.15 in two seconds (`max_region_shift`); the margin
 /// covers the scatter of windows with few requests.
 pub(super) const MAX_CHANGE_PER_SECOND: f64 = 0.04;
+/// Fastest decline of the share per second. Its requests are served where they are, so it leaves more margin.
+const MAX_DECLINE_PER_SECOND: f64 = 0.03;
 /// Fastest growth of the share per second after the region lost much of its room.
 const MAX_LOSS_GROWTH_PER_SECOND: f64 = 1.0;
 /// Time after the loss of room of the region during which the faster growth is allowed.
@@ -161,13 +163,15 @@
             false => MAX_CHANGE_PER_SECOND,
         };
         let step = match self.pressure {
-            _ if self.is_closed() && self.due_outside > MAX_DUE => -MAX_CHANGE_PER_SECOND * elapsed,
+            _ if self.is_closed() && self.due_outside > MAX_DUE => {
+                -MAX_DECLINE_PER_SECOND * elapsed
+            }
             _ if room + ROOM_DIFFERENCE < outside_room => growth * elapsed,
-            _ if outside_room + ROOM_DIFFERENCE < room => -MAX_CHANGE_PER_SECOND * elapsed,
+            _ if outside_room + ROOM_DIFFERENCE < room => -MAX_DECLINE_PER_SECOND * elapsed,
             pressure if pressure > HIGH_PRESSURE && pressure > outside => growth * elapsed,
             pressure if pressure < LOW_PRESSURE => {
                 let part = ((LOW_PRESSURE - pressure) / RETURN_RANGE).min(1.0);
-                -MAX_CHANGE_PER_SECOND * elapsed * part
+                -MAX_DECLINE_PER_SECOND * elapsed * part
             }
             _ => 0.0,
         };
