--- a/crates/coordination/src/fleet/room_losses.rs
+++ b/crates/coordination/src/fleet/room_losses.rs
@@ -10,7 +10,7 @@
 /// two seconds of each other.
 const LOSS_TIME: Duration = Duration::from_secs(4);
 /// Share of a region's slots from which a loss is large. A smaller one is made up for within seconds at the normal pace.
-const LARGE_LOSS: f64 = 0.25;
+const LARGE_LOSS: f64 = 0.4;
 
 /// Slots of a service that one region lost lately.
 #[derive(Clone, Debug, Default)]
