--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -54,6 +54,7 @@
 pub use refusal::Refusal;
 pub use replayable_upload::ReplayableUpload;
 pub use replayable_upload::UploadBody;
+pub use replayable_upload::UploadProgress;
 pub use request_dispatcher::DispatchJob;
 pub use request_dispatcher::RequestDispatcher;
 pub use request_dispatcher::TargetAnswer;
--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -50,6 +50,19 @@
     fault: Option<BodyFault>,
 }
 
+/// What is known of a caller's body at one moment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UploadProgress {
+    /// Number of bytes received from the caller.
+    pub received_bytes: u64,
+    /// Length that the caller announced; `None` if it announced none.
+    pub expected_bytes: Option<u64>,
+    /// Whether the end of the body was received.
+    pub is_complete: bool,
+    /// Whether all that was received can be sent once more.
+    pub has_start: bool,
+}
+
 /// Request body as one connection reads it: first the buffered parts, then the rest from the caller.
 pub struct UploadBody {
     upload: Arc<ReplayableUpload>,
@@ -163,6 +176,17 @@
         self.lock().received_bytes
     }
 
+    /// State of the body, for logs.
+    pub fn progress(&self) -> UploadProgress {
+        let state = self.lock();
+        UploadProgress {
+            received_bytes: state.received_bytes,
+            expected_bytes: state.expected_bytes,
+            is_complete: state.finished_at.is_some(),
+            has_start: state.is_buffer_complete,
+        }
+    }
+
     /// Reason why the body ended early; `None` if it did not.
     pub fn fault(&self) -> Option<BodyFault> {
         self.lock().fault.clone()
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -18,7 +18,6 @@
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use spdlog::info;
 use tokio::sync::Notify;
 
 use crate::callers::AnswerBody;
@@ -33,6 +32,9 @@
 use crate::callers::is_silent;
 use crate::entry::AttemptGuard;
 use crate::entry::RequestFacts;
+use crate::entry::attempt_log::log_closed_connection;
+use crate::entry::attempt_log::log_early_answer;
+use crate::entry::attempt_log::log_repeated_body;
 use crate::entry::buffered_body::BufferedBody;
 use crate::entry::buffered_body::StreamedAttempt;
 use crate::entry::buffered_body::buffer_body;
@@ -204,6 +206,9 @@
         self.dialect.set_target_headers(&mut head.headers, &notice);
         let mut http_request = Request::from_parts(head, request.upload.next_body());
         let is_endless = watch_interim_answers(&mut http_request);
+        if request.dispatches() > 0 && !request.upload.is_empty() {
+            log_repeated_body(request, guard);
+        }
         request.dispatches.fetch_add(1, Ordering::Relaxed);
         let sent = tokio::select! {
             sent = connection.send(http_request) => sent,
@@ -260,6 +265,9 @@
             }
         };
         let (parts, body) = response.into_parts();
+        if request.upload.finished_at().is_none() {
+            log_early_answer(request, &guard, parts.status);
+        }
         let facts = self.dialect.parse_answer_headers(&parts);
         let is_own =
             facts.attempt_id.as_deref().is_none_or(|attempt| *attempt == *request.facts.attempt_id);
@@ -351,21 +359,6 @@
     }
 }
 
-/// Logs a target that closed its connection while it may have run the request, as one that crashed does.
-fn log_closed_connection(
-    request: &OutgoingRequest,
-    guard: &AttemptGuard,
-    fingerprint: RequestFingerprint,
-) {
-    info!("target closed a connection without an answer", kv: {
-        request_id: = request.facts.attempt_id,
-        target: = guard.choice().target,
-        fingerprint:,
-        sent = request.dispatches(),
-        took_ms = guard.elapsed().as_millis() as u64
-    });
-}
-
 /// Watches how many interim answers come to a request, and notifies if they do not seem to end.
 fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
     let is_endless = Arc::new(Notify::new());
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //! and the heartbeats of the other hosts.
 
 mod attempt_guard;
+mod attempt_log;
 mod attempt_runner;
 mod boottime_clock;
 mod buffered_body;
