--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -46,7 +46,7 @@
 const PORTS_PER_PROCESS: u32 = 400;
 
 /// Name in the link table of the place that all targets are in.
-const TARGET_LINKS: &str = "targets";
+pub const TARGET_LINKS: &str = "targets";
 
 /// Name in the link table of the place that the store is in.
 const STORE_LINKS: &str = "store";
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -15,3 +15,5 @@
 mod silent_store;
 mod state;
 mod troubled_days;
+mod upload_caller;
+mod uploads;
--- a/crates/standin/src/network/link_table.rs
+++ b/crates/standin/src/network/link_table.rs
@@ -43,6 +43,7 @@
     regions_by_domain: IndexMap<Box<str>, Box<str>>,
     domains_by_address: IndexMap<SocketAddr, Box<str>>,
     cut_links: IndexMap<(Box<str>, Box<str>), LinkCut>,
+    dial_delay: Duration,
 }
 
 impl LinkTable {
@@ -61,6 +62,16 @@
         self.state().domains_by_address.insert(address, domain.into());
     }
 
+    /// Delays each new connection by a time from now on; open ones keep their pace.
+    pub fn set_dial_delay(&self, delay: Duration) {
+        self.state().dial_delay = delay;
+    }
+
+    /// Time by which new connections are delayed.
+    pub fn dial_delay(&self) -> Duration {
+        self.state().dial_delay
+    }
+
     /// Cuts the links between a failure domain and all others, in both directions.
     pub fn cut_domain(&self, domain: &str) {
         let mut state = self.state();
--- a/crates/standin/src/network/relayed_dialer.rs
+++ b/crates/standin/src/network/relayed_dialer.rs
@@ -49,7 +49,7 @@
 /// Connects to `address` and returns the address of a relay to it, which accepts one connection.
 async fn open_relay(address: SocketAddr, direction: LinkDirection) -> io::Result<SocketAddr> {
     direction.wait_connected().await;
-    tokio::time::sleep(2 * direction.latency()).await;
+    tokio::time::sleep(2 * direction.latency() + direction.links.dial_delay()).await;
     direction.wait_connected().await;
     if direction.refuses() {
         return Err(io::ErrorKind::ConnectionRefused.into());
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,18 +1,30 @@
 //! Stand-ins for the users' platform: its object store, and targets that use its headers.
 
+mod body_ledger;
 mod configuration_ledger;
 mod crash_tally;
+mod early_target;
 mod endless_target;
 mod leaving_ledger;
 mod limit_ledger;
 mod pause_ledger;
 mod platform_store;
 mod platform_target;
+mod request_reader;
 
+pub use body_ledger::ArrivalRecord;
+pub use body_ledger::BodyLedger;
+pub use body_ledger::BodyMismatch;
+pub use body_ledger::MismatchKind;
+pub use body_ledger::SentRequest;
 pub use configuration_ledger::ConfigurationLedger;
 pub use configuration_ledger::StaleRequests;
 pub use configuration_ledger::VersionProbe;
 pub use crash_tally::CrashTally;
+pub use early_target::AnswerKind;
+pub use early_target::AnswerPoint;
+pub use early_target::AnswerStep;
+pub use early_target::EarlyTarget;
 pub use endless_target::EndlessPart;
 pub use endless_target::EndlessTarget;
 pub use leaving_ledger::LateRequests;
