--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -258,6 +258,9 @@
                 Some(Err(error)) => {
                     Some(Err(BodyFault::Truncated { reason: error.to_string().into() }))
                 }
+                None if self.expected_bytes.is_some_and(|bytes| bytes != self.received_bytes) => {
+                    Some(Err(BodyFault::Truncated { reason: "end of the stream".into() }))
+                }
                 None => {
                     self.finished_at = Some(Instant::now());
                     None
@@ -278,8 +281,12 @@
         let body = self.get_mut();
         let upload = Arc::clone(&body.upload);
         let mut state = upload.lock();
-        if state.generation != body.generation {
-            return Poll::Ready(Some(Err(BodyFault::Superseded)));
+        match &state.fault {
+            _ if state.generation != body.generation => {
+                return Poll::Ready(Some(Err(BodyFault::Superseded)));
+            }
+            Some(fault) => return Poll::Ready(Some(Err(fault.clone()))),
+            None => {}
         }
         if let Some(data) = state
             .buffered_parts
@@ -322,7 +329,8 @@
         let state = self.upload.lock();
         let is_replayed =
             !state.is_buffer_complete || self.replayed_parts >= state.buffered_parts.len();
-        state.generation == self.generation && state.finished_at.is_some() && is_replayed
+        let is_readable = state.generation == self.generation && state.fault.is_none();
+        is_readable && state.finished_at.is_some() && is_replayed
     }
 
     fn size_hint(&self) -> SizeHint {
