--- a/crates/buckthornturn/tests/platform/uploads.rs
+++ b/crates/buckthornturn/tests/platform/uploads.rs
@@ -80,6 +80,26 @@
     a_page_is_not_read_as_the_rest_of_a_body_that_fails_early_at_the_second_target: 90_000 in Length, [REFUSES, FAILS], dialed after 120 ms;
 }
 
+macro_rules! huge_uploads {
+    ($($(#[$attribute:meta])* $name:ident: $bytes:literal in $framing:ident, $steps:expr, dialed after $delay:literal ms;)*) => {
+        $($(#[$attribute])* #[tokio::test] async fn $name() {
+            let call = UploadCall::new($bytes, UploadFraming::$framing);
+            let call = UploadCall { part_bytes: 60_000, ..call };
+            check_uploads(call, &$steps, Duration::from_millis($delay)).await;
+        })*
+    };
+}
+
+huge_uploads! {
+    a_body_above_a_mebibyte_keeps_its_start: 2_000_000 in Length, [REFUSES, RUNS], dialed after 100 ms;
+    a_chunked_body_above_a_mebibyte_keeps_its_start: 2_000_000 in Chunks, [REFUSES, RUNS], dialed after 100 ms;
+    a_body_above_a_mebibyte_that_ends_before_a_late_dial_is_not_sent_without_bytes: 1_200_000 in Length, [REFUSES, RUNS], dialed after 200 ms;
+    a_chunked_body_above_a_mebibyte_that_ends_before_a_late_dial_is_not_sent_without_bytes:
+        1_200_000 in Chunks, [REFUSES, RUNS], dialed after 200 ms;
+    a_page_is_not_read_as_the_rest_of_a_body_above_a_mebibyte: 1_200_000 in Length, [REFUSES, REFUSES], dialed after 200 ms;
+    a_page_is_not_read_as_the_rest_of_an_early_success_above_a_mebibyte: 4_000_000 in Length, [REFUSES, SUCCEEDS], dialed after 100 ms;
+}
+
 macro_rules! slow_uploads {
     ($($(#[$attribute:meta])* $name:ident: $bytes:literal in $framing:ident, $steps:expr;)*) => {
         $($(#[$attribute])* #[tokio::test] async fn $name() {
@@ -344,7 +364,7 @@
         "public": false, "session_affinity": true, "allowed_regions": [],
     }}));
     resources.push(json!({
-        "resource_kind": "limits", "metadata": {}, "spec": { "max_body_bytes": 1_000_000 },
+        "resource_kind": "limits", "metadata": {}, "spec": { "max_body_bytes": 8_000_000 },
     }));
     document
 }
