--- a/crates/buckthornturn/src/callers/answer_stream.rs
+++ b/crates/buckthornturn/src/callers/answer_stream.rs
@@ -17,6 +17,7 @@
 
 use crate::callers::ActiveGuard;
 use crate::callers::BodyFault;
+use crate::callers::Busy;
 use crate::callers::PoolKey;
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetConnection;
@@ -32,12 +33,12 @@
     /// Stage with the admission slot; `None` when another host admitted the request and holds the slot.
     pub stage: Option<RequestStage<Answered>>,
     /// Connection that the body is read from.
-    pub connection: TargetConnection,
+    pub connection: TargetConnection<Busy>,
     /// Pool and key to return the connection to after a complete answer; `None` closes the connection.
     pub return_to: Option<(TargetPool, PoolKey)>,
     /// Registration of the request, whose token aborts the answer when the caller's permission is withdrawn.
     pub active: Arc<ActiveGuard>,
-    /// Body of the request; the connection is reused only if this body was read to its end.
+    /// Body of the request.
     pub upload: Arc<ReplayableUpload>,
 }
 
@@ -64,11 +65,10 @@
             stage.record_transfer(resources.upload.received_bytes());
             stage.complete();
         }
-        match resources.return_to {
-            Some((pool, key)) if resources.upload.finished_at().is_some() => {
-                pool.return_connection(key, resources.connection, None);
-            }
-            _ => {}
+        if let (Some((pool, key)), Some(connection)) =
+            (resources.return_to, resources.connection.release())
+        {
+            pool.return_connection(key, connection, None);
         }
     }
 
--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -69,9 +71,23 @@
     generation: u32,
     replayed_parts: usize,
     sent_bytes: u64,
+    transfer: Arc<TransferRecord>,
     idle_timer: Pin<Box<Sleep>>,
 }
 
+/// Whether a connection has taken the whole body of its request.
+#[derive(Debug, Default)]
+pub struct TransferRecord {
+    is_complete: AtomicBool,
+}
+
+impl TransferRecord {
+    /// Whether the connection has taken the whole body.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.load(Ordering::Relaxed)
+    }
+}
+
 impl ReplayableUpload {
     /// Wraps a body of at most `max_bytes` bytes whose sender may pause for at most `max_pause`.
     pub fn new(source: Incoming, max_bytes: u64, max_pause: Duration) -> Arc<Self> {
@@ -111,6 +127,7 @@
             generation: state.generation,
             replayed_parts: 0,
             sent_bytes: 0,
+            transfer: Arc::new(TransferRecord { is_complete: AtomicBool::new(self.is_empty) }),
             idle_timer: Box::pin(tokio::time::sleep(self.max_pause)),
         }
     }
@@ -270,6 +287,27 @@
     }
 }
 
+impl UploadBody {
+    /// Record that tells when the connection has taken the whole body.
+    pub(super) fn transfer(&self) -> Arc<TransferRecord> {
+        Arc::clone(&self.transfer)
+    }
+
+    fn record_part(&mut self, state: &UploadState, data: &Bytes) {
+        self.sent_bytes += data.len() as u64;
+        if self.is_read(state) {
+            self.transfer.is_complete.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn is_read(&self, state: &UploadState) -> bool {
+        let is_replayed =
+            !state.is_buffer_complete || self.replayed_parts >= state.buffered_parts.len();
+        let is_readable = state.generation == self.generation && state.fault.is_none();
+        is_readable && state.finished_at.is_some() && is_replayed
+    }
+}
+
 impl Body for UploadBody {
     type Data = Bytes;
     type Error = BodyFault;
@@ -295,10 +333,11 @@
             .cloned()
         {
             body.replayed_parts += 1;
-            body.sent_bytes += data.len() as u64;
+            body.record_part(&state, &data);
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         if state.finished_at.is_some() {
+            body.transfer.is_complete.store(true, Ordering::Relaxed);
             return Poll::Ready(None);
         }
         let polled = state.poll_source(context, upload.max_bytes, MAX_BUFFERED_BYTES);
@@ -308,7 +347,7 @@
         match polled {
             Poll::Ready(Some(Ok(data))) => {
                 body.replayed_parts = state.buffered_parts.len();
-                body.sent_bytes += data.len() as u64;
+                body.record_part(&state, &data);
                 body.idle_timer.as_mut().reset(tokio::time::Instant::now() + upload.max_pause);
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
@@ -316,7 +355,10 @@
                 state.fault = Some(fault.clone());
                 Poll::Ready(Some(Err(fault)))
             }
-            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(None) => {
+                body.transfer.is_complete.store(true, Ordering::Relaxed);
+                Poll::Ready(None)
+            }
             Poll::Pending => {
                 std::task::ready!(body.idle_timer.as_mut().poll(context));
                 state.fault = Some(BodyFault::Stalled);
@@ -326,11 +368,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        let state = self.upload.lock();
-        let is_replayed =
-            !state.is_buffer_complete || self.replayed_parts >= state.buffered_parts.len();
-        let is_readable = state.generation == self.generation && state.fault.is_none();
-        is_readable && state.finished_at.is_some() && is_replayed
+        self.is_read(&self.upload.lock())
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/buckthornturn/src/callers/request_dispatcher.rs
+++ b/crates/buckthornturn/src/callers/request_dispatcher.rs
@@ -18,11 +18,14 @@
 use crate::callers::AnswerResources;
 use crate::callers::AnswerStream;
 use crate::callers::BodyFault;
+use crate::callers::Busy;
+use crate::callers::Idle;
 use crate::callers::PoolKey;
 use crate::callers::Refusal;
 use crate::callers::ReplayableUpload;
 use crate::callers::RequestMetrics;
 use crate::callers::RequestPlan;
+use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::header_filter::remove_hop_by_hop;
@@ -75,7 +78,7 @@
 
 /// Result of sending a request over one connection.
 enum SendResult {
-    Answered(RequestStage<Dispatched>, Response<Incoming>, TargetConnection),
+    Answered(RequestStage<Dispatched>, Response<Incoming>, TargetConnection<Busy>),
     /// The connection returned the request before it wrote any byte of it.
     Unsent(RequestStage<Admitted>),
     /// The request may have run, and no answer will arrive.
@@ -199,7 +202,7 @@
         &self,
         job: &DispatchJob,
         stage: RequestStage<Admitted>,
-        mut connection: TargetConnection,
+        connection: TargetConnection<Idle>,
     ) -> SendResult {
         let request = job.build_request();
         let stage = stage.dispatch();
@@ -214,12 +217,12 @@
             }
         };
         match answer {
-            Ok(response) => {
+            Ok((response, connection)) => {
                 self.metrics.record_time("first_byte", sent_at.elapsed());
                 SendResult::Answered(stage, response, connection)
             }
-            Err(error) if error.message().is_some() => SendResult::Unsent(stage.into_unsent()),
-            Err(_) => {
+            Err(SendError::Unsent) => SendResult::Unsent(stage.into_unsent()),
+            Err(SendError::Failed(_)) => {
                 let (status, reason) = job.loss_reason();
                 SendResult::Lost(stage.fail(status, reason))
             }
--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -3,17 +3,18 @@
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
 use hyper::body::Incoming;
-use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::callers::TransferRecord;
 use crate::callers::UploadBody;
 use crate::interface::StreamDialer;
 
@@ -58,13 +59,32 @@
     source.downcast_ref::<std::io::Error>().map(std::io::Error::kind)
 }
 
+/// Reason why a request has no answer.
+pub enum SendError {
+    /// No byte of the request was written.
+    Unsent,
+    /// The request may have reached the target.
+    Failed(hyper::Error),
+}
+
+/// State of a connection that may be given a request.
+#[derive(Debug)]
+pub struct Idle;
+
+/// State of a connection whose request has an answer; the request may still be under way.
+#[derive(Debug)]
+pub struct Busy {
+    transfer: Arc<TransferRecord>,
+}
+
 /// Connection to a target. Dropping it closes the connection, which tells the target to stop working on the request.
-pub struct TargetConnection {
+pub struct TargetConnection<S> {
     sender: http1::SendRequest<UploadBody>,
-    _task: AbortOnDropHandle<()>,
+    task: AbortOnDropHandle<()>,
+    state: S,
 }
 
-impl TargetConnection {
+impl TargetConnection<Idle> {
     /// Opens a connection. `on_protocol_error` is called if the target sends bytes that no request asked for. A connection
     /// that is reset or goes silent while idle is no fault of the target.
     ///
@@ -93,7 +113,7 @@
                 _ => {}
             }
         });
-        Ok(Self { sender, _task: AbortOnDropHandle::new(task) })
+        Ok(Self { sender, task: AbortOnDropHandle::new(task), state: Idle })
     }
 
     /// Whether another request may be sent: the last answer was read to its end, nothing came after it, and the
@@ -107,13 +127,39 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of the answer. The error contains the request if no byte of it was
-    /// written.
-    pub fn send(
-        &mut self,
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends before the head of the answer.
+    pub async fn send(
+        mut self,
         request: Request<UploadBody>,
-    ) -> impl Future<Output = Result<TargetResponse, TrySendError<Request<UploadBody>>>> + use<>
-    {
-        self.sender.try_send_request(request)
+    ) -> Result<(TargetResponse, TargetConnection<Busy>), SendError> {
+        let transfer = request.body().transfer();
+        match self.sender.try_send_request(request).await {
+            Ok(response) => {
+                let (sender, task, state) = (self.sender, self.task, Busy { transfer });
+                Ok((response, TargetConnection { sender, task, state }))
+            }
+            Err(error) => Err(match error.message() {
+                Some(_) => SendError::Unsent,
+                None => SendError::Failed(error.into_error()),
+            }),
+        }
+    }
+}
+
+impl TargetConnection<Busy> {
+    /// Whether the connection has taken the whole request.
+    pub fn has_sent_request(&self) -> bool {
+        self.state.transfer.is_complete()
+    }
+
+    /// Returns the connection for another request once the answer was read to its end. `None` closes it: the target still
+    /// expects some of the request, and would read the next one as that.
+    pub fn release(self) -> Option<TargetConnection<Idle>> {
+        let Self { sender, task, state } = self;
+        state.transfer.is_complete().then_some(TargetConnection { sender, task, state: Idle })
     }
 }
--- a/crates/buckthornturn/src/callers/target_pool.rs
+++ b/crates/buckthornturn/src/callers/target_pool.rs
@@ -14,6 +14,7 @@
 use spdlog::warn;
 
 use crate::callers::ConnectError;
+use crate::callers::Idle;
 use crate::callers::TargetConnection;
 use crate::interface::StreamDialer;
 
@@ -52,7 +53,7 @@
 }
 
 struct IdleConnection {
-    connection: TargetConnection,
+    connection: TargetConnection<Idle>,
     idle_since: Instant,
     reusable_until: Instant,
 }
@@ -64,7 +65,7 @@
     }
 
     /// Takes the connection that has been idle the longest, if it is reusable and was silent for long enough.
-    pub fn take_connection(&self, key: &PoolKey) -> Option<TargetConnection> {
+    pub fn take_connection(&self, key: &PoolKey) -> Option<TargetConnection<Idle>> {
         let now = Instant::now();
         let mut state = self.lock();
         if state.is_reuse_suspended(key.address, now) {
@@ -86,7 +87,7 @@
     pub fn return_connection(
         &self,
         key: PoolKey,
-        connection: TargetConnection,
+        connection: TargetConnection<Idle>,
         keep_for: Option<Duration>,
     ) {
         let now = Instant::now();
@@ -112,7 +113,7 @@
         &self,
         address: SocketAddr,
         timeout: Duration,
-    ) -> Result<TargetConnection, ConnectError> {
+    ) -> Result<TargetConnection<Idle>, ConnectError> {
         let pool = self.clone();
         TargetConnection::open(&*self.dialer, address, timeout, move || pool.suspend_reuse(address))
             .await
--- a/crates/buckthornturn/src/callers/ticket_forwarder.rs
+++ b/crates/buckthornturn/src/callers/ticket_forwarder.rs
@@ -22,6 +22,7 @@
 use crate::callers::ActiveGuard;
 use crate::callers::AnswerResources;
 use crate::callers::AnswerStream;
+use crate::callers::Idle;
 use crate::callers::Refusal;
 use crate::callers::ReplayableUpload;
 use crate::callers::RequestPlan;
@@ -121,7 +122,7 @@
     async fn exchange(
         &self,
         job: ForwardJob,
-        mut connection: TargetConnection,
+        connection: TargetConnection<Idle>,
     ) -> Result<TargetAnswer, Refusal> {
         let ForwardJob { plan, mut head, upload, active } = job;
         remove_hop_by_hop(&mut head.headers);
@@ -147,7 +148,7 @@
                 tokio::time::sleep_until(due_at.into()).await;
             }
         };
-        let response = tokio::select! {
+        let (response, connection) = tokio::select! {
             answer = connection.send(request) => answer.map_err(|_| lost())?,
             () = answer_overdue => return Err(lost()),
             () = active.token().cancelled() => return Err(lost()),
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -22,8 +22,11 @@
 
 use crate::callers::AnswerBody;
 use crate::callers::BodyFault;
+use crate::callers::Busy;
+use crate::callers::Idle;
 use crate::callers::PoolKey;
 use crate::callers::ReplayableUpload;
+use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::full_body;
@@ -139,7 +142,7 @@
 }
 
 enum SendResult {
-    Answered(Response<Incoming>, TargetConnection),
+    Answered(Response<Incoming>, TargetConnection<Busy>),
     NotSent,
     /// The target left or asked for a pause after it had been chosen.
     Withheld,
@@ -190,7 +193,7 @@
         &self,
         request: &OutgoingRequest,
         guard: &AttemptGuard,
-        mut connection: TargetConnection,
+        connection: TargetConnection<Idle>,
     ) -> SendResult {
         if !guard.may_send() {
             return SendResult::Withheld;
@@ -215,19 +218,19 @@
             () = is_endless.notified() => return SendResult::OutcomeUnknown("answer-endless"),
         };
         match sent {
-            Ok(response) => SendResult::Answered(response, connection),
-            Err(error) if error.message().is_some() => {
+            Ok((response, connection)) => SendResult::Answered(response, connection),
+            Err(SendError::Unsent) => {
                 request.dispatches.fetch_sub(1, Ordering::Relaxed);
                 SendResult::NotSent
             }
-            Err(error) => {
-                if is_silent(error.error()) {
+            Err(SendError::Failed(error)) => {
+                if is_silent(&error) {
                     guard.record_connection(false);
                 }
                 let reason = failure_reason(&request.upload);
                 match request.fingerprint() {
                     Some(fingerprint)
-                        if reason == TARGET_FAILED && is_closed_without_answer(error.error()) =>
+                        if reason == TARGET_FAILED && is_closed_without_answer(&error) =>
                     {
                         log_closed_connection(request, guard, fingerprint);
                         SendResult::Closed(fingerprint)
@@ -265,7 +268,7 @@
             }
         };
         let (parts, body) = response.into_parts();
-        if request.upload.finished_at().is_none() {
+        if !connection.has_sent_request() {
             log_early_answer(request, &guard, parts.status);
         }
         let facts = self.dialect.parse_answer_headers(&parts);
@@ -293,11 +296,19 @@
         self.forward_answer(request, guard, key, (parts, body), connection, &facts).await
     }
 
-    /// Keeps a connection for further requests, unless its target leaves.
-    fn return_connection(&self, key: PoolKey, connection: TargetConnection, facts: &AnswerHeaders) {
-        if !facts.is_leaving {
-            let idle_limit = facts.idle_timeout.map(|time| time.saturating_sub(IDLE_MARGIN));
-            self.pool.return_connection(key, connection, idle_limit);
+    /// Keeps a connection for further requests, unless its target leaves or still expects some of this request.
+    fn return_connection(
+        &self,
+        key: PoolKey,
+        connection: TargetConnection<Busy>,
+        facts: &AnswerHeaders,
+    ) {
+        let idle_limit = facts.idle_timeout.map(|time| time.saturating_sub(IDLE_MARGIN));
+        match connection.release() {
+            Some(connection) if !facts.is_leaving => {
+                self.pool.return_connection(key, connection, idle_limit)
+            }
+            _ => {}
         }
     }
 
@@ -305,7 +316,7 @@
         &self,
         mut guard: AttemptGuard,
         key: PoolKey,
-        connection: TargetConnection,
+        connection: TargetConnection<Busy>,
         facts: &AnswerHeaders,
         body: Incoming,
     ) -> AttemptResult {
@@ -317,9 +328,12 @@
             guard.log_refusal(facts);
         }
         guard.finish(end, facts.load);
-        let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
-        if let Ok(Ok(BufferedBody::Complete(_))) = body {
-            self.return_connection(key, connection, facts);
+        // A connection that still sends the request is closed at once, so that it takes no more of the body.
+        if connection.has_sent_request() {
+            let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
+            if let Ok(Ok(BufferedBody::Complete(_))) = body {
+                self.return_connection(key, connection, facts);
+            }
         }
         AttemptResult::NotRun(reason)
     }
@@ -330,7 +344,7 @@
         mut guard: AttemptGuard,
         key: PoolKey,
         (mut parts, body): (response::Parts, Incoming),
-        connection: TargetConnection,
+        connection: TargetConnection<Busy>,
         facts: &AnswerHeaders,
     ) -> AttemptResult {
         remove_hop_by_hop(&mut parts.headers);
@@ -339,9 +353,7 @@
         match buffer_body(body).await {
             Ok(BufferedBody::Complete(bytes)) => {
                 guard.finish_answered(parts.status, facts.load);
-                if request.upload.finished_at().is_some() {
-                    self.return_connection(key, connection, facts);
-                }
+                self.return_connection(key, connection, facts);
                 AttemptResult::Answered(Response::from_parts(parts, full_body(bytes)))
             }
             Ok(BufferedBody::Streamed(stream)) => {
--- a/crates/buckthornturn/src/entry/buffered_body.rs
+++ b/crates/buckthornturn/src/entry/buffered_body.rs
@@ -18,6 +18,7 @@
 use tokio::time::Sleep;
 
 use crate::callers::BodyFault;
+use crate::callers::Busy;
 use crate::callers::TargetConnection;
 use crate::entry::AttemptGuard;
 
@@ -37,7 +38,7 @@
     start: Option<Bytes>,
     rest: Incoming,
     size: SizeHint,
-    connection: Option<TargetConnection>,
+    connection: Option<TargetConnection<Busy>>,
     attempt: Option<StreamedAttempt>,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -76,7 +77,7 @@
 
 impl StreamedBody {
     /// Hands over the target's connection, which is kept open until the body ends.
-    pub fn with_connection(self, connection: TargetConnection) -> Self {
+    pub fn with_connection(self, connection: TargetConnection<Busy>) -> Self {
         Self { connection: Some(connection), ..self }
     }
 
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -22,8 +22,11 @@
 use hyper::body::Incoming;
 
 use crate::callers::AnswerBody;
+use crate::callers::Busy;
+use crate::callers::Idle;
 use crate::callers::PoolKey;
 use crate::callers::Refusal;
+use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::full_body;
@@ -103,7 +106,11 @@
         choose_peer(&query, core.roster.live_hosts(Instant::now()), &mut rand::rng()).cloned()
     }
 
-    async fn connect(&self, request: &OutgoingRequest, key: &PoolKey) -> Option<TargetConnection> {
+    async fn connect(
+        &self,
+        request: &OutgoingRequest,
+        key: &PoolKey,
+    ) -> Option<TargetConnection<Idle>> {
         let idle = match request.facts.route.is_repeatable {
             true => self.pool.take_connection(key),
             false => None,
@@ -120,7 +127,7 @@
         &self,
         request: &OutgoingRequest,
         key: PoolKey,
-        mut connection: TargetConnection,
+        connection: TargetConnection<Idle>,
     ) -> Option<ForwardResult> {
         let mut head = request.head.clone();
         self.dialect.set_time_left(&mut head.headers, request.facts.time_left());
@@ -130,13 +137,13 @@
         let deadline = request.facts.deadline().into();
         let failed = || Refusal::unknown(StatusCode::BAD_GATEWAY, "peer-failed");
         match tokio::time::timeout_at(deadline, connection.send(http_request)).await {
-            Ok(Ok(response)) => {
-                let answer = self.receive(request, key, response, connection);
+            Ok(Ok((response, connection))) => {
+                let answer = self.receive(key, response, connection);
                 let answer = tokio::time::timeout_at(deadline, answer).await;
                 Some(answer.unwrap_or(None).ok_or_else(failed))
             }
-            Ok(Err(error)) if error.message().is_some() => None,
-            Ok(Err(_)) => Some(Err(failed())),
+            Ok(Err(SendError::Unsent)) => None,
+            Ok(Err(SendError::Failed(_))) => Some(Err(failed())),
             Err(_) => Some(Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout"))),
         }
     }
@@ -151,17 +158,16 @@
     /// Reads an answer, and keeps its connection for further requests; `None` if the answer is cut.
     async fn receive(
         &self,
-        request: &OutgoingRequest,
         key: PoolKey,
         response: Response<Incoming>,
-        connection: TargetConnection,
+        connection: TargetConnection<Busy>,
     ) -> Option<Response<AnswerBody>> {
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         self.record_leaving(&mut parts.headers);
         match buffer_body(body).await.ok()? {
             BufferedBody::Complete(bytes) => {
-                if request.upload.finished_at().is_some() {
+                if let Some(connection) = connection.release() {
                     self.pool.return_connection(key, connection, None);
                 }
                 Some(Response::from_parts(parts, full_body(bytes)))
