--- a/crates/buckthornturn/src/callers/request_dispatcher.rs
+++ b/crates/buckthornturn/src/callers/request_dispatcher.rs
@@ -28,6 +28,7 @@
 use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
+use crate::callers::WholeUpload;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::callers::header_filter::remove_product_headers;
 use crate::callers::request_plan::REQUEST_ID_HEADER;
@@ -80,7 +81,7 @@
 enum SendResult {
     Answered(RequestStage<Dispatched>, Response<Incoming>, TargetConnection<Busy>),
     /// The connection returned the request before it wrote any byte of it.
-    Unsent(RequestStage<Admitted>),
+    Unsent(RequestStage<Admitted>, WholeUpload),
     /// The request may have run, and no answer will arrive.
     Lost(Refusal),
 }
@@ -122,9 +123,13 @@
         let mut lost: Option<Refusal> = None;
         let mut stage = admitted;
         let mut attempt = 1;
+        let Some(mut upload) = job.upload.take_whole() else {
+            let (status, reason) = job.loss_reason();
+            return Err(stage.refuse(Refusal::not_run(status, reason)));
+        };
         loop {
             excluded.push(stage.target().clone());
-            let refusal = match self.try_target(job, stage).await {
+            let refusal = match self.try_target(job, stage, upload).await {
                 AttemptResult::Answered(answer) => return Ok(*answer),
                 AttemptResult::NotRun(refusal) => refusal,
                 AttemptResult::Lost(refusal) => {
@@ -134,9 +139,14 @@
             };
             let may_repeat = lost.is_none() || job.plan.route.repeatable;
             let is_over = attempt >= MAX_ATTEMPTS || Instant::now() >= job.plan.deadline();
-            if is_over || !may_repeat || !job.upload.is_replayable() || job.is_revoked() {
-                return Err(lost.unwrap_or(refusal));
-            }
+            let retry = match is_over || !may_repeat || job.is_revoked() {
+                true => None,
+                false => job.upload.take_whole(),
+            };
+            upload = match retry {
+                Some(upload) => upload,
+                None => return Err(lost.unwrap_or(refusal)),
+            };
             info!("request retried", kv: {
                 request_id: = job.plan.request_id, attempt:, reason = refusal.reason
             });
@@ -168,16 +178,21 @@
         }
     }
 
-    async fn try_target(&self, job: &DispatchJob, stage: RequestStage<Admitted>) -> AttemptResult {
+    async fn try_target(
+        &self,
+        job: &DispatchJob,
+        stage: RequestStage<Admitted>,
+        upload: WholeUpload,
+    ) -> AttemptResult {
         let key = PoolKey { address: stage.address(), customer: job.plan.customer().cloned() };
         let idle = match job.plan.route.repeatable {
             true => self.pool.take_connection(&key),
             false => None,
         };
-        let mut stage = stage;
+        let (mut stage, mut upload) = (stage, upload);
         if let Some(connection) = idle {
-            match self.send(job, stage, connection).await {
-                SendResult::Unsent(unsent) => stage = unsent,
+            match self.send(job, stage, connection, upload).await {
+                SendResult::Unsent(unsent, whole) => (stage, upload) = (unsent, whole),
                 result => return self.conclude_attempt(job, key, result),
             }
         }
@@ -194,7 +209,7 @@
                 }
             };
         self.metrics.record_time("connect", connect_started_at.elapsed());
-        let result = self.send(job, stage, connection).await;
+        let result = self.send(job, stage, connection, upload).await;
         self.conclude_attempt(job, key, result)
     }
 
@@ -203,8 +218,9 @@
         job: &DispatchJob,
         stage: RequestStage<Admitted>,
         connection: TargetConnection<Idle>,
+        upload: WholeUpload,
     ) -> SendResult {
-        let request = job.build_request();
+        let request = job.build_request(upload);
         let stage = stage.dispatch();
         let sent_at = Instant::now();
         let answer = tokio::select! {
@@ -221,7 +237,7 @@
                 self.metrics.record_time("first_byte", sent_at.elapsed());
                 SendResult::Answered(stage, response, connection)
             }
-            Err(SendError::Unsent) => SendResult::Unsent(stage.into_unsent()),
+            Err(SendError::Unsent(upload)) => SendResult::Unsent(stage.into_unsent(), upload),
             Err(SendError::Failed(_)) => {
                 let (status, reason) = job.loss_reason();
                 SendResult::Lost(stage.fail(status, reason))
@@ -237,7 +253,9 @@
     ) -> AttemptResult {
         let (stage, response, connection) = match result {
             SendResult::Answered(stage, response, connection) => (stage, response, connection),
-            SendResult::Unsent(stage) => return AttemptResult::NotRun(stage.target_unreachable()),
+            SendResult::Unsent(stage, _) => {
+                return AttemptResult::NotRun(stage.target_unreachable());
+            }
             SendResult::Lost(refusal) => return AttemptResult::Lost(refusal),
         };
         let (mut parts, body) = response.into_parts();
@@ -268,7 +286,7 @@
 const SHED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl DispatchJob {
-    fn build_request(&self) -> Request<crate::callers::UploadBody> {
+    fn build_request(&self, upload: WholeUpload) -> Request<WholeUpload> {
         let mut head = self.head.clone();
         let remaining = match self.upload.is_empty() {
             true => self.plan.deadline().saturating_duration_since(Instant::now()),
@@ -276,7 +294,7 @@
         };
         let remaining = HeaderValue::from(remaining.as_millis() as u64);
         head.headers.insert(TIMEOUT_HEADER, remaining);
-        Request::from_parts(head, self.upload.next_body())
+        Request::from_parts(head, upload)
     }
 
     /// Time that a body of this size takes at the lowest upload rate.
--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -16,6 +16,7 @@
 
 use crate::callers::TransferRecord;
 use crate::callers::UploadBody;
+use crate::callers::WholeUpload;
 use crate::interface::StreamDialer;
 
 const MAX_BUFFER_BYTES: usize = 16 << 10;
@@ -61,8 +62,8 @@
 
 /// Reason why a request has no answer.
 pub enum SendError {
-    /// No byte of the request was written.
-    Unsent,
+    /// No byte of the request was written; its body can be sent over another connection.
+    Unsent(WholeUpload),
     /// The request may have reached the target.
     Failed(hyper::Error),
 }
@@ -134,16 +135,17 @@
     /// Fails if the connection ends before the head of the answer.
     pub async fn send(
         mut self,
-        request: Request<UploadBody>,
+        request: Request<WholeUpload>,
     ) -> Result<(TargetResponse, TargetConnection<Busy>), SendError> {
-        let transfer = request.body().transfer();
-        match self.sender.try_send_request(request).await {
+        let (head, upload) = request.into_parts();
+        let (body, transfer) = upload.into_body();
+        match self.sender.try_send_request(Request::from_parts(head, body)).await {
             Ok(response) => {
                 let (sender, task, state) = (self.sender, self.task, Busy { transfer });
                 Ok((response, TargetConnection { sender, task, state }))
             }
-            Err(error) => Err(match error.message() {
-                Some(_) => SendError::Unsent,
+            Err(mut error) => Err(match error.take_message() {
+                Some(request) => SendError::Unsent(request.into_body().into_whole()),
                 None => SendError::Failed(error.into_error()),
             }),
         }
--- a/crates/buckthornturn/src/callers/ticket_forwarder.rs
+++ b/crates/buckthornturn/src/callers/ticket_forwarder.rs
@@ -136,8 +136,8 @@
         }
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
         head.uri = path.unwrap_or_default();
-        let request = Request::from_parts(head, upload.next_body());
         let lost = || Refusal::unknown(StatusCode::BAD_GATEWAY, "issuer-lost");
+        let request = Request::from_parts(head, upload.take_whole().ok_or_else(lost)?);
         let answer_overdue = async {
             loop {
                 let counted_from = upload.finished_at().unwrap_or_else(Instant::now);
--- a/crates/buckthornturn/src/entry/attempt_log.rs
+++ b/crates/buckthornturn/src/entry/attempt_log.rs
@@ -29,13 +29,32 @@
         request_id: = request.facts.attempt_id,
         target: = guard.choice().target,
         sent = request.dispatches(),
-        has_start = progress.has_start,
         is_complete = progress.is_complete,
         received_bytes = progress.received_bytes,
         expected_bytes = progress.expected_bytes.unwrap_or_default()
     });
 }
 
+/// Logs a request that could go to a further target if the start of its body were still there.
+pub(super) fn log_lost_body(request: &OutgoingRequest) {
+    info!("request body cannot be sent again", kv: {
+        request_id: = request.facts.attempt_id,
+        sent = request.dispatches(),
+        received_bytes = request.upload.received_bytes()
+    });
+}
+
+/// Logs a request whose body ended early, if it did.
+pub(super) fn log_body_fault(request: &OutgoingRequest) {
+    if let Some(fault) = request.upload.fault() {
+        info!("request body ended early", kv: {
+            request_id: = request.facts.attempt_id,
+            received_bytes = request.upload.received_bytes(),
+            reason: = fault
+        });
+    }
+}
+
 /// Logs an answer that came before the caller's body was received to its end.
 pub(super) fn log_early_answer(
     request: &OutgoingRequest,
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -1,7 +1,6 @@
 //! Sends a request to one target and classifies the answer.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,12 +8,10 @@
 
 use coordination::fleet::AttemptEnd;
 use coordination::fleet::RequestFingerprint;
-use coordination::fleet::RequestHead;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http::request;
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -29,12 +26,13 @@
 use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
+use crate::callers::WholeUpload;
 use crate::callers::full_body;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::callers::is_closed_without_answer;
 use crate::callers::is_silent;
 use crate::entry::AttemptGuard;
-use crate::entry::RequestFacts;
+use crate::entry::OutgoingRequest;
 use crate::entry::attempt_log::log_closed_connection;
 use crate::entry::attempt_log::log_early_answer;
 use crate::entry::attempt_log::log_repeated_body;
@@ -92,49 +90,6 @@
     }
 }
 
-/// A checked request that is ready to be sent to targets.
-pub struct OutgoingRequest {
-    /// Route, customer, deadline and priority of the request.
-    pub facts: RequestFacts,
-    /// Request head as the caller sent it, without hop-by-hop headers.
-    pub head: request::Parts,
-    /// Request body, which can be sent again while it is buffered whole.
-    pub upload: Arc<ReplayableUpload>,
-    /// Whether another host forwarded the request to this one.
-    pub is_forwarded: bool,
-    dispatches: AtomicU64,
-}
-
-impl OutgoingRequest {
-    /// Creates a request that was not sent to any target yet.
-    pub fn new(facts: RequestFacts, head: request::Parts, upload: Arc<ReplayableUpload>) -> Self {
-        Self { facts, head, upload, is_forwarded: false, dispatches: AtomicU64::new(0) }
-    }
-
-    /// Number of times that the request was sent to a target, including an attempt that is still running.
-    pub fn dispatches(&self) -> u64 {
-        self.dispatches.load(Ordering::Relaxed)
-    }
-
-    /// Digest of everything by which the request is recognized but its body.
-    pub fn head_digest(&self) -> u64 {
-        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let head = RequestHead {
-            customer: self.facts.customer.as_deref(),
-            method: self.head.method.as_str(),
-            host: &self.facts.host,
-            path,
-        };
-        head.digest()
-    }
-
-    /// Fingerprint by which the request is recognized if it comes again; `None` until enough of its body was read.
-    pub fn fingerprint(&self) -> Option<RequestFingerprint> {
-        let body = self.upload.digest()?;
-        Some(RequestFingerprint { head: self.head_digest(), body })
-    }
-}
-
 /// Sends requests to targets over pooled connections.
 pub struct AttemptRunner {
     pool: TargetPool,
@@ -143,7 +98,7 @@
 
 enum SendResult {
     Answered(Response<Incoming>, TargetConnection<Busy>),
-    NotSent,
+    NotSent(WholeUpload),
     /// The target left or asked for a pause after it had been chosen.
     Withheld,
     Closed(RequestFingerprint),
@@ -158,15 +113,21 @@
 
     /// Sends a request to the target of `guard` and reports the end of the attempt. Idle connections are reused
     /// for repeatable routes only.
-    pub async fn run(&self, request: &OutgoingRequest, mut guard: AttemptGuard) -> AttemptResult {
+    pub async fn run(
+        &self,
+        request: &OutgoingRequest,
+        mut guard: AttemptGuard,
+        upload: WholeUpload,
+    ) -> AttemptResult {
         let key = PoolKey { address: guard.choice().address, customer: None };
         let idle = match request.facts.route.is_repeatable {
             true => self.pool.take_connection(&key),
             false => None,
         };
+        let mut upload = upload;
         if let Some(connection) = idle {
-            match self.send(request, &guard, connection).await {
-                SendResult::NotSent => {}
+            match self.send(request, &guard, connection, upload).await {
+                SendResult::NotSent(unsent) => upload = unsent,
                 result => return self.classify_answer(request, guard, key, result).await,
             }
         }
@@ -185,7 +146,7 @@
                 return AttemptResult::NotSent("target-unreachable");
             }
         };
-        let result = self.send(request, &guard, connection).await;
+        let result = self.send(request, &guard, connection, upload).await;
         self.classify_answer(request, guard, key, result).await
     }
 
@@ -194,6 +155,7 @@
         request: &OutgoingRequest,
         guard: &AttemptGuard,
         connection: TargetConnection<Idle>,
+        upload: WholeUpload,
     ) -> SendResult {
         if !guard.may_send() {
             return SendResult::Withheld;
@@ -207,37 +169,28 @@
             time_left,
         };
         self.dialect.set_target_headers(&mut head.headers, &notice);
-        let mut http_request = Request::from_parts(head, request.upload.next_body());
+        let mut http_request = Request::from_parts(head, upload);
         let is_endless = watch_interim_answers(&mut http_request);
         if request.dispatches() > 0 && !request.upload.is_empty() {
             log_repeated_body(request, guard);
         }
-        request.dispatches.fetch_add(1, Ordering::Relaxed);
+        request.record_dispatch();
         let sent = tokio::select! {
             sent = connection.send(http_request) => sent,
             () = is_endless.notified() => return SendResult::OutcomeUnknown("answer-endless"),
         };
         match sent {
-            Ok((response, connection)) => SendResult::Answered(response, connection),
-            Err(SendError::Unsent) => {
-                request.dispatches.fetch_sub(1, Ordering::Relaxed);
-                SendResult::NotSent
-            }
-            Err(SendError::Failed(error)) => {
-                if is_silent(&error) {
-                    guard.record_connection(false);
-                }
-                let reason = failure_reason(&request.upload);
-                match request.fingerprint() {
-                    Some(fingerprint)
-                        if reason == TARGET_FAILED && is_closed_without_answer(&error) =>
-                    {
-                        log_closed_connection(request, guard, fingerprint);
-                        SendResult::Closed(fingerprint)
-                    }
-                    _ => SendResult::OutcomeUnknown(reason),
+            Ok((response, connection)) => {
+                if !connection.has_sent_request() {
+                    log_early_answer(request, guard, response.status());
                 }
+                SendResult::Answered(response, connection)
+            }
+            Err(SendError::Unsent(upload)) => {
+                request.withdraw_dispatch();
+                SendResult::NotSent(upload)
             }
+            Err(SendError::Failed(error)) => classify_error(request, guard, &error),
         }
     }
 
@@ -250,7 +203,7 @@
     ) -> AttemptResult {
         let (response, connection) = match result {
             SendResult::Answered(response, connection) => (response, connection),
-            SendResult::NotSent => {
+            SendResult::NotSent(_) => {
                 guard.finish(AttemptEnd::Unreachable, None);
                 return AttemptResult::NotSent("target-closed");
             }
@@ -268,9 +221,6 @@
             }
         };
         let (parts, body) = response.into_parts();
-        if !connection.has_sent_request() {
-            log_early_answer(request, &guard, parts.status);
-        }
         let facts = self.dialect.parse_answer_headers(&parts);
         let is_own =
             facts.attempt_id.as_deref().is_none_or(|attempt| *attempt == *request.facts.attempt_id);
@@ -371,6 +321,25 @@
     }
 }
 
+/// Tells a target that crashed under a request from other reasons for which an answer is missing.
+fn classify_error(
+    request: &OutgoingRequest,
+    guard: &AttemptGuard,
+    error: &hyper::Error,
+) -> SendResult {
+    if is_silent(error) {
+        guard.record_connection(false);
+    }
+    match (body_fault_reason(&request.upload), request.fingerprint()) {
+        (Some(reason), _) => SendResult::OutcomeUnknown(reason),
+        (None, Some(fingerprint)) if is_closed_without_answer(error) => {
+            log_closed_connection(request, guard, fingerprint);
+            SendResult::Closed(fingerprint)
+        }
+        _ => SendResult::OutcomeUnknown(TARGET_FAILED),
+    }
+}
+
 /// Watches how many interim answers come to a request, and notifies if they do not seem to end.
 fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
     let is_endless = Arc::new(Notify::new());
@@ -394,11 +363,11 @@
     }
 }
 
-fn failure_reason(upload: &ReplayableUpload) -> &'static str {
-    match upload.fault() {
-        Some(BodyFault::TooLarge) => "body-too-large",
-        Some(BodyFault::Stalled) => "body-stalled",
-        Some(_) => "body-cut",
-        None => TARGET_FAILED,
+/// Reason why a request's body ended early; `None` if it did not.
+pub(super) fn body_fault_reason(upload: &ReplayableUpload) -> Option<&'static str> {
+    match upload.fault()? {
+        BodyFault::TooLarge => Some("body-too-large"),
+        BodyFault::Stalled => Some("body-stalled"),
+        _ => Some("body-cut"),
     }
 }
--- /dev/null
+++ b/crates/buckthornturn/src/entry/outgoing_request.rs
@@ -0,0 +1,65 @@
+//! A caller's request on its way to targets.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use coordination::fleet::RequestFingerprint;
+use coordination::fleet::RequestHead;
+use http::request;
+
+use crate::callers::ReplayableUpload;
+use crate::entry::RequestFacts;
+
+/// A checked request that is ready to be sent to targets.
+pub struct OutgoingRequest {
+    /// Route, customer, deadline and priority of the request.
+    pub facts: RequestFacts,
+    /// Request head as the caller sent it, without hop-by-hop headers.
+    pub head: request::Parts,
+    /// Request body, which can be sent again while its start is buffered.
+    pub upload: Arc<ReplayableUpload>,
+    /// Whether another host forwarded the request to this one.
+    pub is_forwarded: bool,
+    dispatches: AtomicU64,
+}
+
+impl OutgoingRequest {
+    /// Creates a request that was not sent to any target yet.
+    pub fn new(facts: RequestFacts, head: request::Parts, upload: Arc<ReplayableUpload>) -> Self {
+        Self { facts, head, upload, is_forwarded: false, dispatches: AtomicU64::new(0) }
+    }
+
+    /// Number of times that the request was sent to a target, including an attempt that is still running.
+    pub fn dispatches(&self) -> u64 {
+        self.dispatches.load(Ordering::Relaxed)
+    }
+
+    /// Counts a send to a target, before its first byte leaves.
+    pub(super) fn record_dispatch(&self) {
+        self.dispatches.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes back a counted send of which no byte left.
+    pub(super) fn withdraw_dispatch(&self) {
+        self.dispatches.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Digest of everything by which the request is recognized but its body.
+    pub fn head_digest(&self) -> u64 {
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let head = RequestHead {
+            customer: self.facts.customer.as_deref(),
+            method: self.head.method.as_str(),
+            host: &self.facts.host,
+            path,
+        };
+        head.digest()
+    }
+
+    /// Fingerprint by which the request is recognized if it comes again; `None` until enough of its body was read.
+    pub fn fingerprint(&self) -> Option<RequestFingerprint> {
+        let body = self.upload.digest()?;
+        Some(RequestFingerprint { head: self.head_digest(), body })
+    }
+}
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -29,6 +29,7 @@
 use crate::callers::SendError;
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
+use crate::callers::WholeUpload;
 use crate::callers::full_body;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::EntryState;
@@ -74,15 +75,13 @@
     /// run.
     pub async fn forward(&self, request: &OutgoingRequest) -> Option<(HostId, ForwardResult)> {
         let mut tried: Vec<HostId> = Vec::new();
-        while tried.len() < MAX_PEERS_TRIED
-            && !request.facts.time_left().is_zero()
-            && request.upload.is_replayable()
-        {
+        while tried.len() < MAX_PEERS_TRIED && !request.facts.time_left().is_zero() {
+            let upload = request.upload.take_whole()?;
             let peer = self.choose(request, &tried)?;
             tried.push(peer.host.clone());
             let key = PoolKey { address: peer.callers, customer: None };
             let Some(connection) = self.connect(request, &key).await else { continue };
-            let Some(result) = self.send(request, key, connection).await else { continue };
+            let Some(result) = self.send(request, key, connection, upload).await else { continue };
             let answer = result.as_ref().ok();
             match answer.and_then(|answer| answer.headers().get(REFUSED_HEADER)) {
                 None => return Some((peer.host, result)),
@@ -128,12 +127,13 @@
         request: &OutgoingRequest,
         key: PoolKey,
         connection: TargetConnection<Idle>,
+        upload: WholeUpload,
     ) -> Option<ForwardResult> {
         let mut head = request.head.clone();
         self.dialect.set_time_left(&mut head.headers, request.facts.time_left());
         let position = self.state.lock().configuration_position();
         set_peer_position(&mut head.headers, &position);
-        let http_request = Request::from_parts(head, request.upload.next_body());
+        let http_request = Request::from_parts(head, upload);
         let deadline = request.facts.deadline().into();
         let failed = || Refusal::unknown(StatusCode::BAD_GATEWAY, "peer-failed");
         match tokio::time::timeout_at(deadline, connection.send(http_request)).await {
@@ -142,7 +142,7 @@
                 let answer = tokio::time::timeout_at(deadline, answer).await;
                 Some(answer.unwrap_or(None).ok_or_else(failed))
             }
-            Ok(Err(SendError::Unsent)) => None,
+            Ok(Err(SendError::Unsent(_))) => None,
             Ok(Err(SendError::Failed(_))) => Some(Err(failed())),
             Err(_) => Some(Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout"))),
         }
--- a/crates/buckthornturn/src/entry/proxy_crashes.rs
+++ b/crates/buckthornturn/src/entry/proxy_crashes.rs
@@ -10,8 +10,10 @@
 use http::StatusCode;
 
 use crate::callers::Refusal;
+use crate::callers::WholeUpload;
 use crate::entry::OutgoingRequest;
 use crate::entry::ProxyService;
+use crate::entry::proxy_service::body_refusal;
 
 /// Reason of refusals of requests that crash targets.
 const CRASHES_REASON: &str = "crashes-targets";
@@ -22,10 +24,11 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal of a request that crashed several targets.
+    /// Returns the refusal of a request that crashed several targets, or whose body ended early.
     pub(super) async fn check_crashes(
         &self,
         request: &OutgoingRequest,
+        upload: &WholeUpload,
     ) -> Result<Option<RequestFingerprint>, Refusal> {
         let head = {
             let core = self.state.lock();
@@ -37,7 +40,7 @@
         if !self.state.lock().crashes.knows_head(head) {
             return Ok(None);
         }
-        let Some(body) = request.upload.read_digest().await else { return Ok(None) };
+        let body = upload.read_digest().await.map_err(|_| body_refusal(request))?;
         let fingerprint = RequestFingerprint { head, body };
         match self.verdict(fingerprint) {
             CrashVerdict::Refused { wait } => Err(crash_refusal(wait)),
--- a/crates/buckthornturn/src/entry/proxy_log.rs
+++ b/crates/buckthornturn/src/entry/proxy_log.rs
@@ -60,12 +60,5 @@
             status:,
             reason:
         });
-        if let Some(fault) = request.upload.fault() {
-            info!("request body ended early", kv: {
-                request_id: = facts.attempt_id,
-                received_bytes = request.upload.received_bytes(),
-                reason: = fault
-            });
-        }
     }
 }
--- a/crates/buckthornturn/src/entry/proxy_peers.rs
+++ b/crates/buckthornturn/src/entry/proxy_peers.rs
@@ -25,7 +25,7 @@
         refusal: &Refusal,
     ) -> bool {
         let mut core = self.state.lock();
-        let may_repeat = request.facts.route.is_repeatable && request.upload.is_replayable();
+        let may_repeat = request.facts.route.is_repeatable && request.upload.progress().has_start;
         match &record.service {
             _ if !core.reach.is_lost() => false,
             _ if refusal.not_run => true,
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -14,7 +14,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use spdlog::info;
 
@@ -23,6 +22,7 @@
 use crate::callers::Refusal;
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetPool;
+use crate::callers::WholeUpload;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::AttemptGuard;
 use crate::entry::AttemptResult;
@@ -34,7 +34,10 @@
 use crate::entry::PeerForwarder;
 use crate::entry::RequestFacts;
 use crate::entry::UNREACHABLE_REASON;
+use crate::entry::attempt_log::log_body_fault;
+use crate::entry::attempt_log::log_lost_body;
 use crate::entry::attempt_runner::TARGET_FAILED;
+use crate::entry::attempt_runner::body_fault_reason;
 use crate::entry::mark_refused;
 use crate::entry::proxy_refusals::RETRY_AFTER_BOUNDS;
 use crate::entry::request_facts::requests_upgrade;
@@ -45,11 +48,14 @@
 
 /// Largest number of targets tried for one request, including those that no byte was sent to.
 const MAX_TARGETS_TRIED: usize = 4;
+/// Reason of refusals of requests whose body has lost its start.
+const LOST_BODY_REASON: &str = "body-not-buffered";
 /// Pause in the `Retry-After` of a refusal while this host has no configuration or no target.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a caller may send nothing within a request body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time for which the unused rest of a request body is read so that the caller receives the answer.
+/// Longest time for which the unused rest of a request body is read so that the caller receives the answer: a connection
+/// that is closed with unread bytes is reset.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Forwards callers' requests to targets and answers refused ones.
@@ -110,7 +116,7 @@
                 info!("request refused", kv: {
                     path: = head.uri.path(), status = refusal.status.as_u16(), reason = refusal.reason
                 });
-                drain_body(&upload).await;
+                upload.discard_rest(DRAIN_TIMEOUT).await;
                 return self.refusal_response(&refusal);
             }
         };
@@ -121,7 +127,8 @@
         let mut record = RequestRecord::new();
         let result = self.admit_and_forward(&request, &mut record).await;
         self.log_request(&request, &record, &result);
-        drain_body(&request.upload).await;
+        log_body_fault(&request);
+        request.upload.discard_rest(DRAIN_TIMEOUT).await;
         match result {
             Ok(response) => response,
             Err(refusal) => self.refusal_response(&refusal),
@@ -224,8 +231,9 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unknown_outcome: Option<Refusal> = None;
+        let mut upload = request.upload.take_whole().ok_or_else(|| body_refusal(request))?;
         loop {
-            let reason = match self.try_target(request, service, &mut tried, record).await {
+            let reason = match self.try_target(request, service, upload, &mut tried, record).await {
                 Err(refusal) => return Err(unknown_outcome.unwrap_or(refusal)),
                 Ok(AttemptResult::Answered(response)) => return Ok(response),
                 Ok(AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason)) => reason,
@@ -242,11 +250,8 @@
                     TARGET_FAILED
                 }
             };
-            if let Some(end) =
-                self.reason_to_stop(request, service, &tried, unknown_outcome.as_ref(), reason)
-            {
-                return Err(end);
-            }
+            upload =
+                self.body_for_retry(request, service, &tried, unknown_outcome.as_ref(), reason)?;
         }
     }
 
@@ -259,13 +264,14 @@
         &self,
         request: &OutgoingRequest,
         service: &ServiceId,
+        upload: WholeUpload,
         tried: &mut Vec<TargetId>,
         record: &mut RequestRecord,
     ) -> Result<AttemptResult, Refusal> {
         if self.state.lock().reach.is_lost() {
             return Err(unavailable_refusal(UNREACHABLE_REASON));
         }
-        let suspect = self.check_crashes(request).await?;
+        let suspect = self.check_crashes(request, &upload).await?;
         let choice = self.choose_target(request, service, tried).map_err(|refusal| {
             record.set_refusal(refusal);
             self.placement_refusal(refusal)
@@ -278,21 +284,25 @@
         if let Some(fingerprint) = suspect {
             self.take_trial(fingerprint).await?;
         }
-        let result = self.runner.run(request, guard).await;
+        let result = self.runner.run(request, guard, upload).await;
         let (closed, answered) = (result.closed(), suspect.filter(|_| result.is_answered()));
         self.report_end(closed, answered, &target).await;
         Ok(result)
     }
 
-    /// Refusal for the caller after an attempt without an answer; `None` if the request may be sent to a further target.
-    fn reason_to_stop(
+    /// Takes the body for a further target after an attempt without an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller of a request that may be sent to no further target.
+    fn body_for_retry(
         &self,
         request: &OutgoingRequest,
         service: &ServiceId,
         tried: &[TargetId],
         unknown_outcome: Option<&Refusal>,
         reason: &'static str,
-    ) -> Option<Refusal> {
+    ) -> Result<WholeUpload, Refusal> {
         let refusal = || {
             let pause = self.jittered_pause(RETRY_AFTER_BOUNDS.0);
             unknown_outcome
@@ -300,14 +310,22 @@
                 .unwrap_or_else(|| unavailable_refusal(reason).retry_after(pause))
         };
         if unknown_outcome.is_some() && !request.facts.route.is_repeatable {
-            return Some(refusal());
+            return Err(refusal());
         }
         let dispatches = request.dispatches();
         let is_exhausted = dispatches >= u64::from(request.facts.route.max_attempts.max(1))
-            || tried.len() >= MAX_TARGETS_TRIED
-            || !request.upload.is_replayable();
-        let may_retry = !is_exhausted && (dispatches == 0 || self.state.lock().take_retry(service));
-        (!may_retry).then(refusal)
+            || tried.len() >= MAX_TARGETS_TRIED;
+        if is_exhausted {
+            return Err(refusal());
+        }
+        let Some(upload) = request.upload.take_whole() else {
+            log_lost_body(request);
+            return Err(refusal());
+        };
+        match dispatches == 0 || self.state.lock().take_retry(service) {
+            true => Ok(upload),
+            false => Err(refusal()),
+        }
     }
 
     fn choose_target(
@@ -344,18 +362,14 @@
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(UNAVAILABLE_PAUSE)
 }
 
-/// Reads the unused rest of a request body. A connection that is closed with unread bytes is reset, and the caller
-/// would lose the answer.
-async fn drain_body(upload: &Arc<ReplayableUpload>) {
-    if upload.finished_at().is_some() || upload.fault().is_some() {
-        return;
+/// Refusal of a request whose body cannot be sent.
+pub(super) fn body_refusal(request: &OutgoingRequest) -> Refusal {
+    let reason = body_fault_reason(&request.upload).unwrap_or(LOST_BODY_REASON);
+    match (request.dispatches(), request.upload.fault()) {
+        (0, Some(BodyFault::TooLarge)) => Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, reason),
+        (0, _) => unavailable_refusal(reason),
+        _ => Refusal::unknown(StatusCode::BAD_GATEWAY, reason),
     }
-    let mut body = upload.next_body();
-    let rest = async {
-        while let Some(Ok(_)) = body.frame().await {}
-        Ok::<(), BodyFault>(())
-    };
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
 }
 
 #[cfg(test)]
