--- a/crates/buckthornturn/src/callers/caller_service.rs
+++ b/crates/buckthornturn/src/callers/caller_service.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::buffer_budget::BufferBudget;
 use coordination::ids::HostId;
 use coordination::ids::Incarnation;
 use coordination::ticket::TicketClaims;
@@ -103,6 +104,7 @@
     claims: ClaimLedger,
     forwarder: TicketForwarder,
     active: ActiveRequests,
+    buffers: Arc<BufferBudget>,
 }
 
 /// Value by which repetitions of a request are recognized.
@@ -135,6 +137,7 @@
             claims: ClaimLedger::new(parts.store, parts.host.clone()),
             forwarder: TicketForwarder::new(parts.host, parts.peers, max_forwards, parts.dialer),
             active: ActiveRequests::default(),
+            buffers: Arc::default(),
         }
     }
 
@@ -237,7 +240,8 @@
         let dedup_key = dedup_key(&plan, &request)?;
         let (head, body) = request.into_parts();
         let limit = plan.route.max_body_bytes;
-        let upload = ReplayableUpload::new(body, limit, self.bounds.body_idle_timeout());
+        let upload =
+            ReplayableUpload::new(body, &self.buffers, limit, self.bounds.body_idle_timeout());
         match dedup_key {
             DedupKey::Absent => {
                 let job = dispatch_job(&state, plan, head, upload, active)?;
--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::buffer_budget::BufferBudget;
 use http_body::Body;
 use http_body::SizeHint;
 use hyper::body::Incoming;
@@ -17,12 +18,10 @@
 
 use crate::callers::BodyFault;
 use crate::callers::WholeUpload;
+use crate::callers::upload_state::BufferRule;
 use crate::callers::upload_state::UploadProgress;
 use crate::callers::upload_state::UploadState;
 
-/// Largest start of a body that is buffered while it is sent, so that it can be sent again, in bytes.
-const MAX_BUFFERED_BYTES: usize = 64 << 10;
-
 /// Body of a caller's request. Only the [`WholeUpload`] taken last, or the [`UploadBody`](crate::callers::UploadBody) made
 /// from it, reads from the caller.
 pub struct ReplayableUpload {
@@ -35,12 +34,18 @@
 }
 
 impl ReplayableUpload {
-    /// Wraps a body of at most `max_bytes` bytes whose sender may pause for at most `max_pause`.
-    pub fn new(source: Incoming, max_bytes: u64, max_pause: Duration) -> Arc<Self> {
+    /// Wraps a body of at most `max_bytes` bytes whose sender may pause for at most `max_pause`. Its start is buffered within
+    /// `budget`, so that it can be sent again.
+    pub fn new(
+        source: Incoming,
+        budget: &Arc<BufferBudget>,
+        max_bytes: u64,
+        max_pause: Duration,
+    ) -> Arc<Self> {
         let size = source.size_hint();
         let is_empty = source.is_end_stream();
         Arc::new(Self {
-            state: Mutex::new(UploadState::new(source)),
+            state: Mutex::new(UploadState::new(source, budget.share())),
             size,
             is_empty,
             max_bytes,
@@ -63,7 +68,7 @@
         let reader = self.lock().replace_reader();
         let rest = std::future::poll_fn(|context| {
             loop {
-                match std::task::ready!(self.poll_source(reader, context, 0)) {
+                match std::task::ready!(self.poll_source(reader, context, BufferRule::Never)) {
                     Some(Ok(_)) => {}
                     Some(Err(_)) | None => return Poll::Ready(()),
                 }
@@ -135,7 +140,7 @@
         reader: u32,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BodyFault>>> {
-        self.poll_source(reader, context, MAX_BUFFERED_BYTES)
+        self.poll_source(reader, context, BufferRule::WithinBudget)
     }
 
     /// Reads the next part from the caller and buffers it, whatever its size.
@@ -144,18 +149,18 @@
         reader: u32,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BodyFault>>> {
-        self.poll_source(reader, context, usize::MAX)
+        self.poll_source(reader, context, BufferRule::Always)
     }
 
     fn poll_source(
         &self,
         reader: u32,
         context: &mut Context<'_>,
-        max_buffered_bytes: usize,
+        rule: BufferRule,
     ) -> Poll<Option<Result<Bytes, BodyFault>>> {
         let mut state = self.lock();
         let was_finished = state.finished_at().is_some();
-        let polled = state.poll_source(reader, context, self.max_bytes, max_buffered_bytes);
+        let polled = state.poll_source(reader, context, self.max_bytes, rule);
         if !was_finished && state.finished_at().is_some() {
             self.finished.notify_one();
         }
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::buffer_budget::BufferShare;
 use coordination::fleet::MAX_DIGESTED_BYTES;
 use coordination::fleet::digest_body;
 use http_body::Body;
@@ -38,23 +39,34 @@
     fault: Option<BodyFault>,
 }
 
+/// Whether the next part that is received stays buffered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum BufferRule {
+    /// It does, whatever it takes.
+    Always,
+    /// It does while the host's buffers have room; else the start is dropped.
+    WithinBudget,
+    /// The start is dropped.
+    Never,
+}
+
 /// Start of a body.
 enum UploadStart {
     /// All that was received so far.
-    Buffered { parts: Vec<Bytes>, bytes: usize },
+    Buffered { parts: Vec<Bytes>, bytes: usize, share: BufferShare },
     /// More was received than is buffered; the digest of the body is kept.
     Dropped { digest: u64 },
 }
 
 impl UploadState {
-    pub(super) fn new(source: Incoming) -> Self {
+    pub(super) fn new(source: Incoming, share: BufferShare) -> Self {
         let now = Instant::now();
         Self {
             expected_bytes: source.size_hint().exact(),
             finished_at: source.is_end_stream().then_some(now),
             source,
             reader: 0,
-            start: UploadStart::Buffered { parts: Vec::new(), bytes: 0 },
+            start: UploadStart::Buffered { parts: Vec::new(), bytes: 0, share },
             received_bytes: 0,
             last_progress_at: now,
             fault: None,
@@ -118,7 +130,7 @@
     pub(super) fn digest(&self) -> Option<u64> {
         match &self.start {
             UploadStart::Dropped { digest } => Some(*digest),
-            UploadStart::Buffered { parts, bytes } => {
+            UploadStart::Buffered { parts, bytes, .. } => {
                 let is_known = self.finished_at.is_some() || *bytes >= MAX_DIGESTED_BYTES;
                 is_known.then(|| digest_parts(parts, self.expected_bytes))
             }
@@ -146,14 +158,13 @@
         }
     }
 
-    /// Reads the next part from the caller; `None` at the end of the body. The start is dropped once it exceeds
-    /// `max_buffered_bytes`.
+    /// Reads the next part from the caller; `None` at the end of the body.
     pub(super) fn poll_source(
         &mut self,
         reader: u32,
         context: &mut Context<'_>,
         max_bytes: u64,
-        max_buffered_bytes: usize,
+        rule: BufferRule,
     ) -> Poll<Option<Result<Bytes, BodyFault>>> {
         if let Err(fault) = self.check_reader(reader) {
             return Poll::Ready(Some(Err(fault)));
@@ -162,7 +173,7 @@
             return Poll::Ready(None);
         }
         let received = match std::task::ready!(self.poll_part(context)) {
-            Some(Ok(data)) => self.record_part(data, max_bytes, max_buffered_bytes).map(Some),
+            Some(Ok(data)) => self.record_part(data, max_bytes, rule).map(Some),
             Some(Err(error)) => Err(BodyFault::Truncated { reason: error.to_string().into() }),
             None => self.record_end().map(|()| None),
         };
@@ -196,7 +207,7 @@
         &mut self,
         data: Bytes,
         max_bytes: u64,
-        max_buffered_bytes: usize,
+        rule: BufferRule,
     ) -> Result<Bytes, BodyFault> {
         self.received_bytes += data.len() as u64;
         self.last_progress_at = Instant::now();
@@ -206,10 +217,18 @@
         if self.expected_bytes == Some(self.received_bytes) {
             self.finished_at = Some(self.last_progress_at);
         }
-        if let UploadStart::Buffered { parts, bytes } = &mut self.start {
+        if let UploadStart::Buffered { parts, bytes, share } = &mut self.start {
             *bytes += data.len();
             parts.push(data.clone());
-            if *bytes > max_buffered_bytes {
+            let has_room = match rule {
+                BufferRule::Always => {
+                    share.grow_unbounded(data.len());
+                    true
+                }
+                BufferRule::WithinBudget => share.grow(data.len()),
+                BufferRule::Never => false,
+            };
+            if !has_room {
                 let digest = digest_parts(parts, self.expected_bytes);
                 self.start = UploadStart::Dropped { digest };
             }
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -64,6 +64,7 @@
     failing_targets: Gauge<u64, AtomicU64>,
     crashing_requests: Gauge<u64, AtomicU64>,
     reaches_targets: Gauge<u64, AtomicU64>,
+    buffered_upload_bytes: Gauge<u64, AtomicU64>,
     ready: Gauge<u64, AtomicU64>,
     label_values: Mutex<IndexSet<Box<str>>>,
 }
@@ -104,6 +105,7 @@
             failing_targets: Gauge::default(),
             crashing_requests: Gauge::default(),
             reaches_targets: Gauge::default(),
+            buffered_upload_bytes: Gauge::default(),
             ready: Gauge::default(),
             label_values: Mutex::default(),
         };
@@ -150,6 +152,7 @@
         let (hosts, targets) = state.host_and_target_counts();
         self.hosts.set(hosts);
         self.targets.set(targets);
+        self.buffered_upload_bytes.set(state.buffers().used_bytes() as u64);
         let core = state.lock();
         self.limited_targets.set(core.board.limited_targets() as u64);
         self.paused_targets.set(core.board.paused_targets(Instant::now()) as u64);
@@ -189,6 +192,8 @@
         registry.register("crashing_requests", refused, self.crashing_requests.clone());
         let reaches = "Whether this host can open connections to targets";
         registry.register("reaches_targets", reaches, self.reaches_targets.clone());
+        let buffered = "Bytes of large request bodies that are kept for a retry";
+        registry.register("buffered_upload_bytes", buffered, self.buffered_upload_bytes.clone());
         registry.register("ready", "Whether new callers are taken", self.ready.clone());
     }
 
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use coordination::buffer_budget::BufferBudget;
 use coordination::fleet::ConfigurationPosition;
 use coordination::fleet::HostPhase;
 use coordination::fleet::ReachChange;
@@ -39,6 +40,7 @@
     pub(super) identity: HostIdentity,
     pub(super) settings: EntrySettings,
     metrics: EntryMetrics,
+    buffers: Arc<BufferBudget>,
     bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
     change_count: watch::Sender<u64>,
@@ -54,6 +56,7 @@
         Arc::new(Self {
             identity,
             metrics: EntryMetrics::default(),
+            buffers: Arc::default(),
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
             configuration: ArcSwapOption::empty(),
@@ -69,6 +72,11 @@
         self.clock.now()
     }
 
+    /// Budget of the request bodies that this host buffers.
+    pub fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.buffers
+    }
+
     /// Name, location and addresses of this host.
     pub fn identity(&self) -> &HostIdentity {
         &self.identity
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -105,7 +105,7 @@
         let facts = RequestFacts::from_request(configuration, &*self.dialect, &request);
         let is_upgrade = requests_upgrade(&request);
         let (mut head, body) = request.into_parts();
-        let upload = ReplayableUpload::new(body, limit, BODY_IDLE_TIMEOUT);
+        let upload = ReplayableUpload::new(body, self.state.buffers(), limit, BODY_IDLE_TIMEOUT);
         let facts = match facts {
             Ok(facts) if !is_upgrade => facts,
             Ok(_) => {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod append_attempt;
 pub mod blocks;
 pub mod borrow_plan;
+pub mod buffer_budget;
 pub mod call_budget;
 pub mod circuit_breaker;
 pub mod customer_budget;
