--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -27,6 +27,8 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
+use standin::body_check::RequestStamp;
+use standin::body_check::STAMP_HEADER;
 use standin::network::LinkCut;
 use standin::network::LinkTable;
 use standin::network::RelayedDialer;
@@ -302,7 +304,9 @@
     }
 
     fn request(self) -> Request<Full<Bytes>> {
-        let mut builder = Request::builder().method(self.method).uri(self.path);
+        let stamp = RequestStamp::keeping(self.method, self.path, &self.body).to_string();
+        let builder = Request::builder().method(self.method).uri(self.path);
+        let mut builder = builder.header(STAMP_HEADER, stamp);
         for (name, value) in &self.headers {
             builder = builder.header(*name, value);
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems that buckthornturn talks to: the platform's store, targets and callers. They serve tests,
 //! experiments and measurements and are not part of a release.
 
+pub mod body_check;
 pub mod demo;
 pub mod deployment;
 pub mod experiment;
--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -22,6 +22,9 @@
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
+use crate::body_check::BodyTally;
+use crate::body_check::RunRequest;
+use crate::body_check::STAMP_HEADER;
 use crate::http_server::AnswerWithheld;
 use crate::http_server::HttpServer;
 use crate::http_server::ServerBody;
@@ -87,7 +90,8 @@
     pub tally: CrashTally,
 }
 
-/// Running stand-in for a target on the platform; dropping it stops the server.
+/// Running stand-in for a target on the platform; dropping it stops the server, and panics if it has run another request than a
+/// caller sent.
 pub struct PlatformTarget {
     name: Box<str>,
     shared: Arc<Mutex<TargetShared>>,
@@ -109,6 +113,13 @@
     pauses: PauseLedger,
     crash_trigger: Option<CrashTrigger>,
     crashed: Arc<Notify>,
+    bodies: Arc<BodyTally>,
+}
+
+impl Drop for PlatformTarget {
+    fn drop(&mut self) {
+        self.bodies().assert_unchanged(&self.name);
+    }
 }
 
 impl PlatformTarget {
@@ -215,6 +226,11 @@
         shared.ledger.busiest_window(shared.limit.unwrap_or(f64::INFINITY), settle_time)
     }
 
+    /// Comparison of the requests that the target runs with those that callers sent.
+    pub fn bodies(&self) -> Arc<BodyTally> {
+        Arc::clone(&lock(&self.shared).bodies)
+    }
+
     /// Requests that the target has executed, in order.
     pub fn runs(&self) -> Vec<RunRecord> {
         lock(&self.shared).runs.clone()
@@ -263,7 +279,6 @@
     request: Request<Incoming>,
 ) -> ServerResult {
     let headers = request.headers().clone();
-    let path: Box<str> = request.uri().path().into();
     let attempt_id = header_text(&headers, "x-attempt-id");
     if mode == TargetMode::Silent {
         std::future::pending::<()>().await;
@@ -283,13 +298,7 @@
             &[("x-not-executed", "1"), ("x-server-load", "4,9,4")],
         ));
     }
-    let body = request.into_body().collect().await.map_err(|_| AnswerWithheld)?.to_bytes();
-    crash_under(shared, &path, &body).await;
-    lock(shared).runs.push(RunRecord {
-        attempt_id: attempt_id.clone(),
-        headers,
-        body_bytes: body.len(),
-    });
+    run(shared, &attempt_id, request).await?;
     let work = lock(shared).work;
     tokio::time::sleep(work.map_or(WORK_DURATION, |(time, _)| time)).await;
     let mut answer = answer_run(mode, &attempt_id)?;
@@ -303,6 +312,31 @@
     Ok(answer)
 }
 
+/// Reads a request to its end, compares it with what its caller sent and records it.
+async fn run(
+    shared: &Mutex<TargetShared>,
+    attempt_id: &str,
+    request: Request<Incoming>,
+) -> Result<(), AnswerWithheld> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| AnswerWithheld)?.to_bytes();
+    let bodies = Arc::clone(&lock(shared).bodies);
+    bodies.compare(RunRequest {
+        id: attempt_id,
+        stamp: &header_text(&head.headers, STAMP_HEADER),
+        method: head.method.as_str(),
+        target: head.uri.path_and_query().map_or("", |target| target.as_str()),
+        body: &body,
+    });
+    crash_under(shared, head.uri.path(), &body).await;
+    lock(shared).runs.push(RunRecord {
+        attempt_id: attempt_id.into(),
+        headers: head.headers,
+        body_bytes: body.len(),
+    });
+    Ok(())
+}
+
 /// Answer to a request that the target has run.
 fn answer_run(mode: TargetMode, attempt_id: &str) -> ServerResult {
     let signed = [("x-server-signature", "s"), ("x-server-load", "1,0,4")];
