--- a/crates/buckthornturn/tests/graceful_end.rs
+++ b/crates/buckthornturn/tests/graceful_end.rs
@@ -15,6 +15,8 @@
 use hyper::client::conn::http2;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
+use standin::body_check::RequestStamp;
+use standin::body_check::STAMP_HEADER;
 use support::KEY_AURORA;
 use support::RawAnswer;
 use support::ScriptedTarget;
@@ -45,6 +47,7 @@
 fn http2_request(path: &str) -> Request<Empty<Bytes>> {
     Request::get(format!("http://s.example{path}"))
         .header("authorization", format!("Bearer {KEY_AURORA}"))
+        .header(STAMP_HEADER, RequestStamp::new("GET", path, b"").to_string())
         .body(Empty::new())
         .unwrap()
 }
--- a/crates/buckthornturn/tests/requests.rs
+++ b/crates/buckthornturn/tests/requests.rs
@@ -14,6 +14,7 @@
 use support::TestHost;
 use support::exchange;
 use support::request;
+use support::stamp_line;
 use support::wait_until;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -272,6 +273,7 @@
     let host = TestHost::start(&[target.address]).await;
     let encoded = KEY_AURORA.replace('_', "%5F");
     let headers = [
+        &*stamp_line("GET /read?a=1&c=2", ""),
         &*format!("x-odd: {KEY_AURORA}"),
         &*format!("referer: https://s.example/?k={encoded}"),
         &*format!("cookie: theme=dark; k={KEY_AURORA}; lang=es"),
--- a/crates/buckthornturn/tests/support/mod.rs
+++ b/crates/buckthornturn/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod fake_store;
 mod raw_caller;
 mod scripted_target;
+mod sent_request;
 mod test_host;
 mod wait_until;
 
@@ -17,6 +18,7 @@
 pub use raw_caller::request;
 pub use scripted_target::ScriptedTarget;
 pub use scripted_target::TargetStep;
+pub use sent_request::stamp_line;
 pub use test_host::KEY_AURORA;
 pub use test_host::KEY_BOREAL;
 pub use test_host::TestHost;
--- a/crates/buckthornturn/tests/support/raw_caller.rs
+++ b/crates/buckthornturn/tests/support/raw_caller.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use standin::body_check::STAMP_HEADER;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::support::KEY_AURORA;
+use crate::support::stamp_line;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -52,12 +54,15 @@
     }
 }
 
-/// A request with `Connection: close` and the given header lines; the key of `aurora` is added unless they have one.
+/// A request with `Connection: close`, its stamp and the given header lines; the key of `aurora` is added unless they have one.
 pub fn request(line: &str, headers: &[&str], body: &str) -> String {
     let mut text = format!("{line} HTTP/1.1\r\nhost: s.example\r\nconnection: close\r\n");
     if !headers.iter().any(|header| header.to_ascii_lowercase().starts_with("authorization")) {
         text += &format!("authorization: Bearer {KEY_AURORA}\r\n");
     }
+    if !headers.iter().any(|header| header.starts_with(STAMP_HEADER)) {
+        text += &format!("{}\r\n", stamp_line(line, body));
+    }
     for header in headers {
         text += &format!("{header}\r\n");
     }
--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -7,12 +7,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use standin::body_check::BodyTally;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::support::sent_request::compare_request;
+
 /// What a target does with one request.
 #[derive(Clone, Copy, Debug)]
 pub enum TargetStep {
@@ -38,7 +41,7 @@
     AnswerEarly,
 }
 
-/// A target on a loopback address; it stops when dropped.
+/// A target on a loopback address; it stops when dropped, and panics then if it has read another request than a caller sent.
 pub struct ScriptedTarget {
     /// Address of its listener.
     pub address: SocketAddr,
@@ -51,6 +54,13 @@
     received_requests: Mutex<Vec<String>>,
     open_connections: AtomicUsize,
     accepted_connections: AtomicUsize,
+    bodies: BodyTally,
+}
+
+impl Drop for ScriptedTarget {
+    fn drop(&mut self) {
+        self.shared.bodies.assert_unchanged("of a script");
+    }
 }
 
 struct OpenConnectionGuard(Arc<TargetShared>);
@@ -71,12 +81,18 @@
             received_requests: Mutex::default(),
             open_connections: AtomicUsize::new(0),
             accepted_connections: AtomicUsize::new(0),
+            bodies: BodyTally::default(),
         });
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(listener, Arc::clone(&shared)));
         Self { address, shared, _tasks: tasks }
     }
 
+    /// States that the test sends malformed bodies, which carry no stamp.
+    pub fn expect_malformed_bodies(&self) {
+        self.shared.bodies.allow_malformed_bodies();
+    }
+
     /// Requests received so far, each with head and body.
     pub fn received_requests(&self) -> Vec<String> {
         self.shared.received_requests.lock().unwrap().clone()
@@ -118,6 +134,7 @@
             _ => {
                 shared.received_requests.lock().unwrap().push(head.clone());
                 let body = read_body(&mut stream, &head).await?;
+                compare_request(&shared.bodies, &head, &body);
                 shared.received_requests.lock().unwrap()[number].push_str(&body);
                 body
             }
--- a/crates/standin/examples/proxy_overhead.rs
+++ b/crates/standin/examples/proxy_overhead.rs
@@ -21,6 +21,8 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
+use standin::body_check::RequestStamp;
+use standin::body_check::STAMP_HEADER;
 use standin::json_client::JsonClient;
 use standin::store::StoreStandin;
 use standin::target_standin::TargetBehaviour;
@@ -141,9 +143,11 @@
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection.map(drop));
+    let stamp = RequestStamp::new("GET", "/page", b"").to_string();
     while Instant::now() < end {
         let request = Request::get("/page")
             .header("host", "s.example")
+            .header(STAMP_HEADER, &stamp)
             .header("authorization", format!("Bearer {key}"))
             .body(Empty::<Bytes>::new())?;
         let sent = Instant::now();
