--- a/crates/standin/src/body_check/body_tally.rs
+++ b/crates/standin/src/body_check/body_tally.rs
@@ -138,7 +138,7 @@
     }
 
     /// Counts and first mismatches if a request differed or was not checked; `None` otherwise.
-    pub fn fault(&self) -> Option<Box<str>> {
+    fn fault(&self) -> Option<Box<str>> {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let TallyState { counts, mismatches, may_be_malformed } = &*state;
         let is_unchecked = counts.unchecked > 0 && !may_be_malformed;
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -15,4 +15,5 @@
 pub use crate::deployment::fleet_deployment::FleetDeployment;
 pub use crate::deployment::fleet_deployment::GrantedKey;
 pub use crate::deployment::host_slot::HostSlot;
+pub use crate::deployment::standard_load::mixed_upload_template;
 pub use crate::deployment::target_slot::TargetSlot;
--- a/crates/standin/src/deployment/standard_load.rs
+++ b/crates/standin/src/deployment/standard_load.rs
@@ -15,6 +15,8 @@
 const MAX_REQUESTS_PER_CUSTOMER: usize = 200_000;
 const MAX_IN_FLIGHT_PER_CUSTOMER: usize = 512;
 const UPLOAD_BYTES: u64 = 128 * 1024;
+const MAX_MIXED_BYTES: u64 = 360_000;
+const MIXED_UPLOAD_WEIGHT: f64 = 2.0;
 const PAYMENT_BYTES: u64 = 300;
 const BODY_PAUSE_MS: u64 = 5;
 
@@ -119,6 +121,7 @@
         path: path.into(),
         body_bytes: 0,
         body_pause_ms: 0,
+        mixed: false,
         once: false,
         open: false,
         bulk: false,
@@ -142,6 +145,17 @@
     }
 }
 
+/// Uploads of many lengths that are sent in several ways, to the service that takes the uploads of an example.
+pub fn mixed_upload_template(kind: DeploymentKind) -> RequestTemplate {
+    let (service, path, suffix) = match kind {
+        DeploymentKind::Heredia => ("archive", "/uploads/mixed?part=1", "heredia"),
+        DeploymentKind::ShresthaSunar => ("assays", "/uploads/mixed?part=1", "shrestha"),
+    };
+    let template = upload_template("mixed-upload", service, path, MIXED_UPLOAD_WEIGHT);
+    let template = RequestTemplate { mixed: true, body_bytes: MAX_MIXED_BYTES, ..template };
+    with_host_name(template, suffix)
+}
+
 fn download_template(name: &str, service: &str, path: &str, weight: f64) -> RequestTemplate {
     let path = format!("{path}?pause_ms={BODY_PAUSE_MS}");
     RequestTemplate { bulk: true, ..read_template(name, service, &path, weight) }
--- a/crates/standin/src/deployment/target_slot.rs
+++ b/crates/standin/src/deployment/target_slot.rs
@@ -9,7 +9,8 @@
 use crate::target_standin::TargetCounts;
 use crate::target_standin::TargetStandin;
 
-/// Identity and behaviour of a target, and its process while it runs. The ledger of executions outlives the process.
+/// Identity and behaviour of a target, and its process while it runs. The ledger of executions outlives the process. Dropping it
+/// panics if the target has read another request than a caller sent.
 pub struct TargetSlot {
     /// Name of the target in the configuration.
     pub name: Box<str>,
@@ -24,6 +25,12 @@
     process: Option<TargetStandin>,
 }
 
+impl Drop for TargetSlot {
+    fn drop(&mut self) {
+        self.ledger.bodies().assert_unchanged(&self.name);
+    }
+}
+
 impl TargetSlot {
     /// Starts a target on a loopback port chosen by the system.
     ///
--- a/crates/standin/src/experiment/experiment_report.rs
+++ b/crates/standin/src/experiment/experiment_report.rs
@@ -109,6 +109,8 @@
         sum.timed_out += counts.timed_out;
         sum.cut_uploads += counts.cut_uploads;
         sum.untracked += counts.untracked;
+        sum.refused_early += counts.refused_early;
+        sum.bodies.add(counts.bodies);
     }
     sum
 }
--- a/crates/standin/src/experiment/mod.rs
+++ b/crates/standin/src/experiment/mod.rs
@@ -13,6 +13,7 @@
 pub use crate::experiment::experiment_error::ExperimentError;
 pub use crate::experiment::experiment_plan::ExperimentPlan;
 pub use crate::experiment::experiment_report::ExperimentReport;
+pub use crate::experiment::experiment_report::total_target_counts;
 pub use crate::experiment::experiment_run::run_experiment;
 pub use crate::experiment::experiment_run::run_file;
 pub use crate::experiment::fault_action::FaultAction;
--- a/crates/standin/src/load/caller_session.rs
+++ b/crates/standin/src/load/caller_session.rs
@@ -7,17 +7,18 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Empty;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use crate::body_check::STAMP_HEADER;
 use crate::load::CustomerLoad;
 use crate::load::RequestEnd;
 use crate::load::RequestTemplate;
 use crate::load::connection_pool::ConnectionPool;
 use crate::load::content_check::ContentCheck;
-use crate::load::request_body::caller_body;
+use crate::load::request_body::SentBody;
+use crate::load::request_body::empty_body;
 use crate::load::steering_cache::SteeringCache;
 
 const OUTCOME_HEADER: &str = "buckthornturn-outcome";
@@ -130,30 +131,32 @@
         let Some(mut sender) = self.pool.acquire(address).await else {
             return AttemptEnd::Unreachable;
         };
-        let pause = Duration::from_millis(template.body_pause_ms);
+        let sent = SentBody::new(template, id);
         let mut builder = Request::builder()
             .method(&*template.method)
             .uri(&*template.path)
             .header("host", &*template.host)
-            .header(ID_HEADER, id);
+            .header(ID_HEADER, id)
+            .header(STAMP_HEADER, sent.stamp.to_string());
         if !template.open {
             builder = builder.header("authorization", format!("Bearer {}", self.load.key));
         }
-        if template.body_bytes > 0 {
-            builder = builder.header("content-length", template.body_bytes);
+        if sent.stamp.length > 0 && !sent.is_chunked {
+            builder = builder.header("content-length", sent.stamp.length);
         }
         if let Some(ticket) = ticket {
             builder = builder.header(TICKET_HEADER, ticket);
         }
-        let Ok(request) = builder.body(caller_body(id, template.body_bytes, pause)) else {
+        let Ok(request) = builder.body(sent.stream()) else {
             return AttemptEnd::Unreachable;
         };
         let timeout = if template.bulk { Duration::MAX } else { ATTEMPT_TIMEOUT };
         let response = match tokio::time::timeout(timeout, sender.send_request(request)).await {
             Ok(Ok(response)) => response,
+            _ if sent.broken_off_at.is_some() => return AttemptEnd::Final(RequestEnd::BrokenOff),
             _ => return AttemptEnd::NoAnswer,
         };
-        let end = self.classify_response(template, id, response, result).await;
+        let end = self.classify_response(template, (id, &sent), response, result).await;
         if !matches!(end, RequestEnd::CutAnswer) {
             self.pool.release(address, sender);
         }
@@ -163,7 +166,7 @@
     async fn classify_response(
         &self,
         template: &RequestTemplate,
-        id: &str,
+        (id, sent): (&str, &SentBody),
         response: Response<Incoming>,
         result: &mut SessionResult,
     ) -> RequestEnd {
@@ -177,7 +180,7 @@
             Some(outcome) => read_refusal(status, &outcome, response.into_body()).await,
             None if status.is_success() => {
                 let customer = (!template.open).then_some(&*self.load.customer);
-                let check = ContentCheck { template, id, customer };
+                let check = ContentCheck { template, id, sent, customer };
                 check.check_answer(status.as_u16(), response.into_body()).await
             }
             None => match response.into_body().collect().await {
@@ -208,7 +211,7 @@
         let request = Request::post(path)
             .header("host", &*template.host)
             .header("authorization", format!("Bearer {}", self.load.key))
-            .body(Empty::new().boxed_unsync())
+            .body(empty_body())
             .ok()?;
         let response_result =
             tokio::time::timeout(ATTEMPT_TIMEOUT, sender.send_request(request)).await;
--- a/crates/standin/src/load/content_check.rs
+++ b/crates/standin/src/load/content_check.rs
@@ -7,7 +7,7 @@
 
 use crate::load::RequestEnd;
 use crate::load::RequestTemplate;
-use crate::load::request_body::body_digest;
+use crate::load::request_body::SentBody;
 use crate::target_standin::AnswerContent;
 
 const MAX_ECHO_BYTES: usize = 64 * 1024;
@@ -18,6 +18,8 @@
     pub template: &'a RequestTemplate,
     /// Identifier sent in the `x-load-id` header; the target derives its content from it.
     pub id: &'a str,
+    /// Body of the request.
+    pub sent: &'a SentBody,
     /// Customer that the target must name; `None` if the request was sent without a key.
     pub customer: Option<&'a str>,
 }
@@ -60,8 +62,8 @@
         let is_match = echo["request_id"] == self.id
             && echo["customer"].as_str() == self.customer
             && echo["path"] == path
-            && echo["body_bytes"] == self.template.body_bytes
-            && echo["body_sha256"] == *body_digest(self.id, self.template.body_bytes);
+            && echo["body_bytes"] == self.sent.stamp.length
+            && echo["body_sha256"] == *self.sent.stamp.body;
         match is_match {
             true => RequestEnd::Answered { status },
             false => RequestEnd::WrongAnswer,
--- a/crates/standin/src/load/load_plan.rs
+++ b/crates/standin/src/load/load_plan.rs
@@ -60,6 +60,10 @@
     /// Pause before each piece of the body that is sent, in milliseconds.
     #[serde(default)]
     pub body_pause_ms: u64,
+    /// Whether the body has any length up to `body_bytes`, a sixth of it on average, and is sent in one of several ways: with a
+    /// length or in chunks, at once or with the pauses, in whole or broken off.
+    #[serde(default)]
+    pub mixed: bool,
     /// Whether the request must run at most once; a ticket is then fetched first.
     #[serde(default)]
     pub once: bool,
--- a/crates/standin/src/load/request_record.rs
+++ b/crates/standin/src/load/request_record.rs
@@ -28,6 +28,8 @@
     },
     /// No answer arrived after the request was sent, so it is unknown whether it was executed.
     NoAnswer,
+    /// The caller broke its upload off.
+    BrokenOff,
     /// No host could be reached.
     Unreachable,
     /// The caller gave up waiting.
@@ -46,6 +48,7 @@
             Self::Refused { reason, not_run: true, .. } => reason.clone(),
             Self::Refused { reason, not_run: false, .. } => format!("{reason} (unknown)").into(),
             Self::NoAnswer => "no-answer".into(),
+            Self::BrokenOff => "broken-off".into(),
             Self::Unreachable => "unreachable".into(),
             Self::TimedOut => "timed-out".into(),
             Self::NotSent => "not-sent".into(),
--- a/crates/standin/src/load/steering_cache.rs
+++ b/crates/standin/src/load/steering_cache.rs
@@ -10,7 +10,6 @@
 
 use http::Request;
 use http_body_util::BodyExt;
-use http_body_util::Empty;
 use http_body_util::Limited;
 use indexmap::IndexMap;
 use rand::seq::SliceRandom;
@@ -18,6 +17,7 @@
 use tokio::sync::Mutex as AsyncMutex;
 
 use crate::load::connection_pool::ConnectionPool;
+use crate::load::request_body::empty_body;
 
 const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a host that failed to answer is tried after all others.
@@ -152,7 +152,7 @@
         let mut sender = self.pool.acquire(address).await?;
         let request = Request::get(format!("/.well-known/buckthornturn/steer?service={service}"))
             .header("host", address.to_string())
-            .body(Empty::new().boxed_unsync())
+            .body(empty_body())
             .ok()?;
         let response = sender.send_request(request).await.ok()?;
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
--- a/crates/standin/src/report_table.rs
+++ b/crates/standin/src/report_table.rs
@@ -6,28 +6,36 @@
 
 use crate::deployment::FleetDeployment;
 use crate::experiment::ExperimentReport;
+use crate::experiment::total_target_counts;
 use crate::load::LoadReport;
 use crate::target_standin::TargetCounts;
 
 /// Formats latency by customer, refusals by reason, answers by failure domain and the counters of the targets.
 pub fn report_text(report: &LoadReport, deployment: &FleetDeployment) -> String {
     let mut text = load_text(report);
-    let counts: Vec<_> = deployment.targets.values().map(|target| target.counts()).collect();
-    let sum = |count: fn(&TargetCounts) -> u64| counts.iter().map(count).sum::<u64>();
-    let over_slots =
-        deployment.targets.values().filter(|target| target.counts().max_in_flight > target.slots());
-    let _ = writeln!(
-        text,
-        "targets: executed {}, shed {}, over their slots {}, cancelled {}, keys seen by targets {}",
-        sum(|counts| counts.executed),
-        sum(|counts| counts.shed),
-        sum(|counts| counts.over_slots) + over_slots.count() as u64,
-        sum(|counts| counts.cancelled),
-        sum(|counts| counts.keys_seen),
-    );
+    text.push_str(&targets_text(&total_target_counts(deployment)));
     text
 }
 
+/// Formats the counters of all targets together.
+fn targets_text(targets: &TargetCounts) -> String {
+    let bodies = targets.bodies;
+    format!(
+        "targets: executed {}, shed {}, over their slots {}, cancelled {}, keys seen by targets {}\n\
+         bodies: compared {}, differing {}, unchecked {}; refused before they were read {}, broken off {}\n",
+        targets.executed,
+        targets.shed,
+        targets.over_slots + u64::from(targets.max_in_flight),
+        targets.cancelled,
+        targets.keys_seen,
+        bodies.compared,
+        bodies.differing,
+        bodies.unchecked,
+        targets.refused_early,
+        targets.cut_uploads,
+    )
+}
+
 /// Head of the Markdown table that compares experiments.
 pub const SUMMARY_TABLE_HEAD: &str = "\
 | experiment | answered | worst p50 / p99 ms | worst to median p99 | least free slots | drain s | wrongful | overshoot \
@@ -67,16 +75,7 @@
             writeln!(text, "  {:6.2} s {}{}", fault.at_s, fault.what, error.unwrap_or_default());
     }
     text.push_str(&load_text(&report.load));
-    let targets = &report.targets;
-    let _ = writeln!(
-        text,
-        "targets: executed {}, shed {}, over their slots {}, cancelled {}, keys seen by targets {}",
-        targets.executed,
-        targets.shed,
-        targets.over_slots + u64::from(targets.max_in_flight),
-        targets.cancelled,
-        targets.keys_seen
-    );
+    text.push_str(&targets_text(&report.targets));
     let measures = &report.measures;
     let seconds = |value: Option<f64>| value.map_or("-".into(), |value| format!("{value:.2} s"));
     let _ = writeln!(
--- a/crates/standin/src/target_standin/execution_ledger.rs
+++ b/crates/standin/src/target_standin/execution_ledger.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::body_check::BodyCounts;
+use crate::body_check::BodyTally;
+
 /// Limit of the request identifiers kept; executions of further ones are counted as untracked.
 const MAX_REQUEST_IDS: usize = 2_000_000;
 
@@ -35,6 +38,10 @@
     pub timed_out: u64,
     /// Number of requests whose body ended early, before execution.
     pub cut_uploads: u64,
+    /// Number of requests in `shed` that were shed before their body was read.
+    pub refused_early: u64,
+    /// Comparison of requests with what their callers sent, those in `refused_early` included if they were read to their end.
+    pub bodies: BodyCounts,
     /// Time from the start of draining to the last request that arrived, in milliseconds; `None` if none arrived.
     pub last_arrival_after_draining_ms: Option<u64>,
     /// Number of executions without an identifier, or with one beyond the ledger's limit.
@@ -45,6 +52,7 @@
 #[derive(Default)]
 pub struct ExecutionLedger {
     state: Mutex<LedgerState>,
+    bodies: BodyTally,
 }
 
 #[derive(Default)]
@@ -134,6 +142,16 @@
         });
     }
 
+    /// Counts a request that is shed before its body is read.
+    pub fn record_early_refusal(&self) {
+        self.with_state(|state| state.counts.refused_early += 1);
+    }
+
+    /// Comparison of requests with what their callers sent.
+    pub fn bodies(&self) -> &BodyTally {
+        &self.bodies
+    }
+
     /// Counts a request that ended before its whole answer was sent.
     pub fn record_cancelled(&self) {
         self.with_state(|state| state.counts.cancelled += 1);
@@ -151,7 +169,8 @@
 
     /// Returns a copy of the counts, those from before a restart included.
     pub fn counts(&self) -> TargetCounts {
-        self.with_state(|state| state.counts.clone())
+        let counts = self.with_state(|state| state.counts.clone());
+        TargetCounts { bodies: self.bodies.counts(), ..counts }
     }
 
     /// Number of executions by request identifier.
--- a/crates/standin/src/target_standin/mod.rs
+++ b/crates/standin/src/target_standin/mod.rs
@@ -22,12 +22,19 @@
 use crate::http_server::HttpServer;
 use crate::target_standin::target_service::TargetService;
 
-/// Running stand-in for a target. Dropping it closes its connections, also those with requests in progress.
+/// Running stand-in for a target. Dropping it closes its connections, also those with requests in progress, and panics if it
+/// has read another request than a caller sent.
 pub struct TargetStandin {
     server: HttpServer,
     service: Arc<TargetService>,
 }
 
+impl Drop for TargetStandin {
+    fn drop(&mut self) {
+        self.service.ledger().bodies().assert_unchanged("stand-in");
+    }
+}
+
 impl TargetStandin {
     /// Starts a target with an empty ledger.
     ///
--- a/crates/standin/src/target_standin/target_behaviour.rs
+++ b/crates/standin/src/target_standin/target_behaviour.rs
@@ -23,6 +23,9 @@
     pub draining: bool,
     /// Share of requests shed at random although slots are free, in percent.
     pub shed_percent: f64,
+    /// Share of requests with a body that are shed before the body is read, in percent. The connection is kept and the rest is
+    /// read.
+    pub refuse_early_percent: f64,
     /// Whether requests occupy slots and are never answered; health reports are not answered either.
     pub hang: bool,
     /// HTTP status returned at once instead of execution; 0 for none.
@@ -55,6 +58,7 @@
             cold_seconds: 0,
             draining: false,
             shed_percent: 0.0,
+            refuse_early_percent: 0.0,
             hang: false,
             fail_status: 0,
             report: ReportOverride::default(),
--- a/crates/standin/src/target_standin/target_service.rs
+++ b/crates/standin/src/target_standin/target_service.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -18,15 +19,17 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
-use sha2::Digest;
-use sha2::Sha256;
 
+use crate::body_check::RequestStamp;
+use crate::body_check::RunRequest;
+use crate::body_check::STAMP_HEADER;
 use crate::http_server::AnswerWithheld;
 use crate::http_server::ServerBody;
 use crate::http_server::ServerResult;
@@ -50,6 +53,10 @@
 /// Headers that may hold the identifier of a request; the first that is present applies.
 pub const ID_HEADERS: [&str; 3] = ["x-load-id", "idempotency-key", "x-request-id"];
 const KEY_PREFIX: &[u8] = b"bt_";
+/// Share of early refusals that wait for a part of the body, in percent.
+const REFUSED_WITHIN_BODY_PERCENT: f64 = 50.0;
+/// Bound of the bytes that such a refusal waits for.
+const MAX_READ_BYTES: usize = 100_000;
 const MAX_CONTROL_BYTES: usize = 64 * 1024;
 
 /// Serves requests, health reports and control paths of a target.
@@ -70,6 +77,8 @@
     customer: Option<Box<str>>,
     method: Method,
     path: Box<str>,
+    target: Box<str>,
+    stamp: Box<str>,
     pause: Duration,
 }
 
@@ -161,9 +170,12 @@
     async fn handle_request(&self, request: Request<Incoming>) -> ServerResult {
         let behaviour = self.behaviour();
         self.ledger.record_arrival(contains_key(&request));
-        if self.should_shed(&behaviour) {
+        if self.is_drawn(behaviour.shed_percent) {
             return Ok(self.shed_request(false));
         }
+        if !request.body().is_end_stream() && self.is_drawn(behaviour.refuse_early_percent) {
+            return self.refuse_early(request).await;
+        }
         let Some(slot) = self.slots.acquire(behaviour.slots, &self.ledger) else {
             return Ok(self.shed_request(true));
         };
@@ -184,8 +196,36 @@
         result
     }
 
-    fn should_shed(&self, behaviour: &TargetBehaviour) -> bool {
-        let probability = (behaviour.shed_percent / 100.0).clamp(0.0, 1.0);
+    /// Sheds a request as soon as its head or the first part of its body is there, and reads the rest beside the answer.
+    async fn refuse_early(&self, request: Request<Incoming>) -> ServerResult {
+        let echo = RequestEcho::from_request(&request);
+        let (mut body, mut start) = (request.into_body(), BytesMut::new());
+        let enough = match self.is_drawn(REFUSED_WITHIN_BODY_PERCENT) {
+            true => self.draw_length(),
+            false => 0,
+        };
+        if !read_body(&mut body, &mut start, enough).await {
+            self.ledger.record_cut_upload();
+            return Err(AnswerWithheld);
+        }
+        self.ledger.record_early_refusal();
+        let ledger = self.ledger();
+        tokio::spawn(async move {
+            match read_body(&mut body, &mut start, usize::MAX).await {
+                true => drop(echo.compare(&ledger, &start)),
+                false => ledger.record_cut_upload(),
+            }
+        });
+        Ok(self.shed_request(false))
+    }
+
+    fn draw_length(&self) -> usize {
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        rng.random_range(1..MAX_READ_BYTES)
+    }
+
+    fn is_drawn(&self, percent: f64) -> bool {
+        let probability = (percent / 100.0).clamp(0.0, 1.0);
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
         probability > 0.0 && rng.random_bool(probability)
     }
@@ -204,10 +244,12 @@
         mut slot: SlotGuard,
     ) -> ServerResult {
         let echo = RequestEcho::from_request(&request);
-        let Some((body_bytes, digest)) = read_body(request.into_body()).await else {
+        let mut body = BytesMut::new();
+        if !read_body(&mut request.into_body(), &mut body, usize::MAX).await {
             self.ledger.record_cut_upload();
             return Err(AnswerWithheld);
-        };
+        }
+        let run = echo.compare(&self.ledger, &body);
         if behaviour.hang {
             return pending().await;
         }
@@ -221,14 +263,13 @@
         let executed_count = self.executed_count.load(Ordering::Relaxed);
         tokio::time::sleep(work_time(behaviour, executed_count, self.started_at.elapsed())).await;
         self.executed_count.fetch_add(1, Ordering::Relaxed);
-        Ok(self.build_answer(echo, body_bytes, &digest, slot))
+        Ok(self.build_answer(echo, &run, slot))
     }
 
     fn build_answer(
         &self,
         echo: RequestEcho,
-        body_bytes: u64,
-        digest: &str,
+        run: &RequestStamp,
         mut slot: SlotGuard,
     ) -> Response<ServerBody> {
         let id = echo.id.as_deref().unwrap_or_default();
@@ -244,7 +285,7 @@
                 slot.mark_answered();
                 json_answer(&json!({
                     "target": self.name, "request_id": echo.id, "customer": echo.customer,
-                    "path": echo.path, "body_bytes": body_bytes, "body_sha256": digest,
+                    "path": echo.path, "body_bytes": run.length, "body_sha256": run.body,
                 }))
             }
         };
@@ -268,23 +309,34 @@
             customer: text("buckthornturn-customer"),
             method: request.method().clone(),
             path: request.uri().path().into(),
+            target: request.uri().path_and_query().map_or("", |target| target.as_str()).into(),
+            stamp: text(STAMP_HEADER).unwrap_or_default(),
             pause: Duration::from_millis(query_number(request, "pause_ms").unwrap_or(0)),
         }
     }
+
+    /// Compares the request with what its caller sent, and returns what was read.
+    fn compare(&self, ledger: &ExecutionLedger, body: &[u8]) -> RequestStamp {
+        ledger.bodies().compare(RunRequest {
+            id: self.id.as_deref().unwrap_or_default(),
+            stamp: &self.stamp,
+            method: self.method.as_str(),
+            target: &self.target,
+            body,
+        })
+    }
 }
 
-/// Reads a body to its end and returns its length and SHA-256 in hex; `None` if it ended early.
-async fn read_body(mut body: Incoming) -> Option<(u64, Box<str>)> {
-    let mut length = 0;
-    let mut digest = Sha256::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(bytes) = frame.ok()?.into_data() {
-            length += bytes.len() as u64;
-            digest.update(&bytes);
+/// Reads a body to its end or to a number of bytes; false if it ended early.
+async fn read_body(body: &mut Incoming, read: &mut BytesMut, enough: usize) -> bool {
+    while read.len() < enough {
+        match body.frame().await {
+            None => return true,
+            Some(Err(_)) => return false,
+            Some(Ok(frame)) => read.extend(frame.into_data().ok()),
         }
     }
-    let text: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
-    Some((length, text.into()))
+    true
 }
 
 fn request_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/standin/tests/demo.rs
+++ b/crates/standin/tests/demo.rs
@@ -13,6 +13,8 @@
             let text = String::from_utf8_lossy(&output.stdout);
             assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
             assert!(text.contains("keys seen by targets 0"), "{text}");
+            assert!(text.contains("differing 0, unchecked 0;"), "{text}");
+            assert!(!text.contains("bodies: compared 0,"), "{text}");
             assert!(text.contains("executed twice 0, wrong answers 0"), "{text}");
             for customer in $customers {
                 assert!(text.contains(customer), "{text}");
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -17,6 +17,8 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
+use standin::body_check::RequestStamp;
+use standin::body_check::STAMP_HEADER;
 use standin::json_client::JsonClient;
 use standin::target_standin::AnswerContent;
 use standin::target_standin::TargetBehaviour;
@@ -45,6 +47,8 @@
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
         tokio::spawn(connection.map(drop));
         let mut builder = Request::post(path).header("host", "t");
+        let stamp = RequestStamp::new("POST", path, b"body").to_string();
+        builder = builder.header(STAMP_HEADER, stamp);
         for (name, value) in headers {
             builder = builder.header(*name, *value);
         }
