--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -35,6 +35,8 @@
     SendEndlessBody,
     /// Answers with status 503 and `target-shed`: the request did not run.
     Shed,
+    /// Answers as `Shed` does as soon as it has the head, and reads the body afterwards.
+    ShedEarly,
     /// Answers with the path after a pause.
     EchoSlowly(Duration),
     /// Answers with the path before it has read the body.
@@ -129,6 +131,10 @@
         let path = head.split(' ').nth(1)?.to_owned();
         let number = shared.received_requests.lock().unwrap().len();
         let step = shared.steps[number.min(shared.steps.len() - 1)];
+        let shed = "HTTP/1.1 503 X\r\ntarget-shed: 1\r\ncontent-length: 0\r\n\r\n";
+        if let TargetStep::ShedEarly = step {
+            stream.write_all(shed.as_bytes()).await.ok()?;
+        }
         let body = match step {
             TargetStep::AnswerEarly => String::new(),
             _ => {
@@ -140,8 +146,8 @@
             }
         };
         let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
-        let shed = "HTTP/1.1 503 X\r\ntarget-shed: 1\r\ncontent-length: 0\r\n\r\n";
         match step {
+            TargetStep::ShedEarly => {}
             TargetStep::EchoPath => stream.write_all(echo.as_bytes()).await.ok()?,
             TargetStep::EchoTwice(pause) => {
                 stream.write_all(echo.as_bytes()).await.ok()?;
