--- a/crates/buckthornturn/src/callers/caller_service.rs
+++ b/crates/buckthornturn/src/callers/caller_service.rs
@@ -28,6 +28,7 @@
 use crate::callers::ActiveGuard;
 use crate::callers::ActiveRequests;
 use crate::callers::BodyFault;
+use crate::callers::CallerBody;
 use crate::callers::ClaimLedger;
 use crate::callers::DispatchJob;
 use crate::callers::ForwardJob;
@@ -238,7 +239,7 @@
             }
         })?;
         let dedup_key = dedup_key(&plan, &request)?;
-        let (head, body) = request.into_parts();
+        let (head, body) = CallerBody::split_request(request);
         let limit = plan.route.max_body_bytes;
         let upload =
             ReplayableUpload::new(body, &self.buffers, limit, self.bounds.body_idle_timeout());
--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod active_requests;
 mod answer_stream;
 mod body_fault;
+mod caller_body;
 mod caller_permission;
 mod caller_service;
 mod canonical_path;
@@ -35,6 +36,7 @@
 pub use answer_stream::AnswerResources;
 pub use answer_stream::AnswerStream;
 pub use body_fault::BodyFault;
+pub use caller_body::CallerBody;
 pub use caller_permission::CallerPermission;
 pub use caller_service::AnswerBody;
 pub use caller_service::CallerService;
--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -13,10 +13,10 @@
 use coordination::buffer_budget::BufferBudget;
 use http_body::Body;
 use http_body::SizeHint;
-use hyper::body::Incoming;
 use tokio::sync::Notify;
 
 use crate::callers::BodyFault;
+use crate::callers::CallerBody;
 use crate::callers::WholeUpload;
 use crate::callers::upload_state::BufferRule;
 use crate::callers::upload_state::UploadProgress;
@@ -37,7 +37,7 @@
     /// Wraps a body of at most `max_bytes` bytes whose sender may pause for at most `max_pause`. Its start is buffered within
     /// `budget`, so that it can be sent again.
     pub fn new(
-        source: Incoming,
+        source: CallerBody,
         budget: &Arc<BufferBudget>,
         max_bytes: u64,
         max_pause: Duration,
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -10,9 +10,9 @@
 use coordination::fleet::MAX_DIGESTED_BYTES;
 use coordination::fleet::digest_body;
 use http_body::Body;
-use hyper::body::Incoming;
 
 use crate::callers::BodyFault;
+use crate::callers::CallerBody;
 
 /// What is known of a caller's body at one moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,7 +29,7 @@
 
 /// Body of a caller's request with a single reader, the one whose number was given out last.
 pub(super) struct UploadState {
-    source: Incoming,
+    source: CallerBody,
     reader: u32,
     start: UploadStart,
     received_bytes: u64,
@@ -59,7 +59,7 @@
 }
 
 impl UploadState {
-    pub(super) fn new(source: Incoming, share: BufferShare) -> Self {
+    pub(super) fn new(source: CallerBody, share: BufferShare) -> Self {
         let now = Instant::now();
         Self {
             expected_bytes: source.size_hint().exact(),
@@ -174,7 +174,7 @@
         }
         let received = match std::task::ready!(self.poll_part(context)) {
             Some(Ok(data)) => self.record_part(data, max_bytes, rule).map(Some),
-            Some(Err(error)) => Err(BodyFault::Truncated { reason: error.to_string().into() }),
+            Some(Err(fault)) => Err(fault),
             None => self.record_end().map(|()| None),
         };
         if let Err(fault) = &received {
@@ -183,13 +183,13 @@
         Poll::Ready(received.transpose())
     }
 
-    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<hyper::Result<Bytes>>> {
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyFault>>> {
         loop {
             let frame = std::task::ready!(Pin::new(&mut self.source).poll_frame(context));
             match frame.map(|frame| frame.map(http_body::Frame::into_data)) {
                 Some(Ok(Ok(data))) => return Poll::Ready(Some(Ok(data))),
                 Some(Ok(Err(_trailers))) => {}
-                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                Some(Err(fault)) => return Poll::Ready(Some(Err(fault))),
                 None => return Poll::Ready(None),
             }
         }
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -19,6 +19,7 @@
 
 use crate::callers::AnswerBody;
 use crate::callers::BodyFault;
+use crate::callers::CallerBody;
 use crate::callers::Refusal;
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetPool;
@@ -104,7 +105,7 @@
         let limit = configuration.limits.max_body_bytes;
         let facts = RequestFacts::from_request(configuration, &*self.dialect, &request);
         let is_upgrade = requests_upgrade(&request);
-        let (mut head, body) = request.into_parts();
+        let (mut head, body) = CallerBody::split_request(request);
         let upload = ReplayableUpload::new(body, self.state.buffers(), limit, BODY_IDLE_TIMEOUT);
         let facts = match facts {
             Ok(facts) if !is_upgrade => facts,
