--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -6,7 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
+use http::header;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -44,6 +47,12 @@
     },
 }
 
+/// Names the coding of a body of unknown length. The HTTP client would leave the body out of a GET or HEAD otherwise.
+fn set_chunked(headers: &mut HeaderMap) {
+    headers.remove(header::CONTENT_LENGTH);
+    headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+}
+
 /// Whether a connection failed because the other end went silent.
 pub fn is_silent(error: &hyper::Error) -> bool {
     io_error_kind(error) == Some(ErrorKind::TimedOut)
@@ -137,7 +146,10 @@
         mut self,
         request: Request<WholeUpload>,
     ) -> Result<(TargetResponse, TargetConnection<Busy>), SendError> {
-        let (head, upload) = request.into_parts();
+        let (mut head, upload) = request.into_parts();
+        if upload.needs_chunks() {
+            set_chunked(&mut head.headers);
+        }
         let (body, transfer) = upload.into_body();
         match self.sender.try_send_request(Request::from_parts(head, body)).await {
             Ok(response) => {
--- a/crates/buckthornturn/src/callers/upload_body.rs
+++ b/crates/buckthornturn/src/callers/upload_body.rs
@@ -65,6 +65,11 @@
         .await
     }
 
+    /// Whether only the coding of the body can tell where it ends.
+    pub(super) fn needs_chunks(&self) -> bool {
+        !self.upload.is_empty() && self.upload.exact_bytes().is_none()
+    }
+
     /// Body for a connection, with the record that tells when the connection has taken all of it.
     pub(super) fn into_body(self) -> (UploadBody, Arc<TransferRecord>) {
         let transfer = Arc::<TransferRecord>::default();
