--- a/crates/buckthornturn/src/entry/outgoing_request.rs
+++ b/crates/buckthornturn/src/entry/outgoing_request.rs
@@ -6,16 +6,21 @@
 
 use coordination::fleet::RequestFingerprint;
 use coordination::fleet::RequestHead;
+use http::HeaderValue;
+use http::Uri;
+use http::Version;
+use http::header;
 use http::request;
 
 use crate::callers::ReplayableUpload;
+use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::RequestFacts;
 
 /// A checked request that is ready to be sent to targets.
 pub struct OutgoingRequest {
     /// Route, customer, deadline and priority of the request.
     pub facts: RequestFacts,
-    /// Request head as the caller sent it, without hop-by-hop headers.
+    /// Request head as the caller sent it, without hop-by-hop headers, in the form that HTTP/1.1 has for a server.
     pub head: request::Parts,
     /// Request body, which can be sent again while its start is buffered.
     pub upload: Arc<ReplayableUpload>,
@@ -26,7 +31,14 @@
 
 impl OutgoingRequest {
     /// Creates a request that was not sent to any target yet.
-    pub fn new(facts: RequestFacts, head: request::Parts, upload: Arc<ReplayableUpload>) -> Self {
+    pub fn new(
+        facts: RequestFacts,
+        mut head: request::Parts,
+        upload: Arc<ReplayableUpload>,
+    ) -> Self {
+        remove_hop_by_hop(&mut head.headers);
+        head.extensions.clear();
+        use_origin_form(&mut head, &facts.host);
         Self { facts, head, upload, is_forwarded: false, dispatches: AtomicU64::new(0) }
     }
 
@@ -63,3 +75,19 @@
         Some(RequestFingerprint { head: self.head_digest(), body })
     }
 }
+
+/// Gives a head of any version, with the host in its URI or not, the form of an HTTP/1.1 request to a server. A request of
+/// HTTP/1.0 would get an answer that can't be told from a cut one.
+fn use_origin_form(head: &mut request::Parts, host: &str) {
+    head.version = Version::HTTP_11;
+    match head.uri.path_and_query() {
+        Some(path) if head.uri.authority().is_some() => head.uri = Uri::from(path.clone()),
+        _ => {}
+    }
+    match HeaderValue::from_str(host) {
+        Ok(host) if !head.headers.contains_key(header::HOST) => {
+            head.headers.insert(header::HOST, host);
+        }
+        _ => {}
+    }
+}
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -24,7 +24,6 @@
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
-use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::AttemptGuard;
 use crate::entry::AttemptResult;
 use crate::entry::AttemptRunner;
@@ -105,7 +104,7 @@
         let limit = configuration.limits.max_body_bytes;
         let facts = RequestFacts::from_request(configuration, &*self.dialect, &request);
         let is_upgrade = requests_upgrade(&request);
-        let (mut head, body) = CallerBody::split_request(request);
+        let (head, body) = CallerBody::split_request(request);
         let upload = ReplayableUpload::new(body, self.state.buffers(), limit, BODY_IDLE_TIMEOUT);
         let facts = match facts {
             Ok(facts) if !is_upgrade => facts,
@@ -121,8 +120,6 @@
                 return self.refusal_response(&refusal);
             }
         };
-        remove_hop_by_hop(&mut head.headers);
-        head.extensions.clear();
         let mut request = OutgoingRequest::new(facts, head, upload);
         request.is_forwarded = peer_position.is_some();
         let mut record = RequestRecord::new();
--- a/crates/buckthornturn/tests/platform/request_bytes.rs
+++ b/crates/buckthornturn/tests/platform/request_bytes.rs
@@ -200,6 +200,8 @@
 enum StreamEnd {
     /// A proper end of the stream.
     End,
+    /// Trailers, which end the stream.
+    Trailers,
     /// A reset with a reason.
     Reset(Reason),
     /// The connection closes.
@@ -239,6 +241,7 @@
             target.wait_for_body("half").await;
             match $end {
                 StreamEnd::End => body.send_data(Bytes::new(), true).unwrap(),
+                StreamEnd::Trailers => body.send_trailers(http::HeaderMap::new()).unwrap(),
                 StreamEnd::Reset(reason) => body.send_reset(reason),
                 StreamEnd::Disconnect => task.abort_all(),
             }
@@ -255,6 +258,7 @@
 
 http2_bodies! {
     an_http2_post_of_unknown_length: "POST", None, StreamEnd::End => true;
+    an_http2_post_with_trailers: "POST", None, StreamEnd::Trailers => true;
     an_http2_get_of_unknown_length: "GET", None, StreamEnd::End => true;
     an_http2_body_of_its_length: "POST", Some("4"), StreamEnd::End => true;
     an_http2_body_that_is_shorter_than_its_length: "POST", Some("9"), StreamEnd::End => false;
