--- a/crates/buckthornturn/src/callers/key_redactor.rs
+++ b/crates/buckthornturn/src/callers/key_redactor.rs
@@ -101,8 +101,9 @@
             query => query.map(str::to_owned),
         };
         let text = match query {
-            Some(query) if !query.is_empty() => format!("{path}?{query}"),
-            _ => path.to_owned(),
+            Some(query) if query.is_empty() && uri.query() != Some("") => path.to_owned(),
+            Some(query) => format!("{path}?{query}"),
+            None => path.to_owned(),
         };
         PathAndQuery::try_from(text).ok().map(Uri::from)
     }
