--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod lost_links;
 mod pauses;
+mod raw_target;
 mod request_bytes;
 mod requests;
 mod silent_store;
--- a/crates/buckthornturn/tests/platform/request_bytes.rs
+++ b/crates/buckthornturn/tests/platform/request_bytes.rs
@@ -1,9 +1,6 @@
 //! Method, path, query and body of a request arrive at its target as its caller sent them, or the connection ends.
 
-use std::borrow::Cow;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,14 +12,14 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper_util::rt::TokioIo;
+use standin::network::LinkCut;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::entry_fleet::EntryFleet;
-use crate::entry_fleet::WAIT_LIMIT;
+use crate::raw_target::RawTarget;
 
 const HEADERS: &str = "host: pages.example\r\nx-attempt-id: 0011223344556677\r\nx-request-deadline: 2000\r\n\
                        x-credential: key-1\r\nx-affinity-key: 17\r\n";
@@ -30,124 +27,26 @@
 /// Time in which bytes that a host passes on reach the target.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
-/// A request as a target received it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-struct ReceivedRequest {
-    line: Box<str>,
-    head: Box<str>,
-    body: Vec<u8>,
-    is_complete: bool,
-}
-
-impl ReceivedRequest {
-    fn body_text(&self) -> Cow<'_, str> {
-        String::from_utf8_lossy(&self.body)
-    }
-}
-
-/// A target on a plain TCP socket that records what it receives and answers complete requests.
-struct RawTarget {
-    address: SocketAddr,
-    requests: Arc<Mutex<Vec<ReceivedRequest>>>,
-    _tasks: JoinSet<()>,
-}
-
-impl RawTarget {
-    async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let requests = Arc::<Mutex<Vec<ReceivedRequest>>>::default();
-        let (mut tasks, received) = (JoinSet::new(), Arc::clone(&requests));
-        tasks.spawn(async move {
-            let mut connections = JoinSet::new();
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let received = Arc::clone(&received);
-                connections.spawn(async move { serve(stream, &received).await });
-            }
-        });
-        Self { address, requests, _tasks: tasks }
-    }
-
-    fn requests(&self) -> Vec<ReceivedRequest> {
-        self.requests.lock().unwrap().clone()
-    }
-
-    /// Waits until a part of a body has arrived.
-    async fn wait_for_body(&self, part: &str) {
-        let has_part = || self.requests().iter().any(|request| request.body_text().contains(part));
-        let wait = async {
-            while !has_part() {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(WAIT_LIMIT, wait).await.expect("the start of the body");
-    }
-}
-
-async fn serve(mut stream: TcpStream, requests: &Mutex<Vec<ReceivedRequest>>) -> Option<()> {
-    loop {
-        let head = read_until(&mut stream, "\r\n\r\n").await?;
-        let line: Box<str> = head.lines().next()?.into();
-        let head: Box<str> = head.to_ascii_lowercase().into();
-        let place = {
-            let mut requests = requests.lock().unwrap();
-            requests.push(ReceivedRequest { line, head: head.clone(), ..Default::default() });
-            requests.len() - 1
-        };
-        let extend = |byte| requests.lock().unwrap()[place].body.push(byte);
-        if head.contains("transfer-encoding: chunked") {
-            loop {
-                let size = read_until(&mut stream, "\r\n").await?;
-                let size = usize::from_str_radix(size.trim(), 16).ok()?;
-                read_part(&mut stream, size, extend).await?;
-                read_until(&mut stream, "\r\n").await?;
-                if size == 0 {
-                    break;
-                }
-            }
-        } else {
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-            let length = length.map_or(0, |length| length.trim().parse().unwrap());
-            read_part(&mut stream, length, extend).await?;
-        }
-        requests.lock().unwrap()[place].is_complete = true;
-        let id = head.lines().find_map(|line| line.strip_prefix("x-attempt-id: ")).unwrap_or("");
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: s\r\n\
-             x-server-load: 1,0,4\r\ncontent-length: 2\r\n\r\nok"
-        );
-        stream.write_all(answer.as_bytes()).await.ok()?;
-    }
-}
-
-async fn read_until(stream: &mut TcpStream, end: &str) -> Option<String> {
-    let mut text = Vec::new();
-    while !text.ends_with(end.as_bytes()) {
-        text.push(stream.read_u8().await.ok()?);
-    }
-    String::from_utf8(text).ok()
-}
-
-async fn read_part(stream: &mut TcpStream, size: usize, extend: impl Fn(u8)) -> Option<()> {
-    for _ in 0..size {
-        extend(stream.read_u8().await.ok()?);
-    }
-    Some(())
-}
-
 /// A host in front of one raw target.
 async fn start_host() -> (EntryFleet, RawTarget) {
-    let fleet = EntryFleet::start(1, 1).await;
+    start_hosts(1).await
+}
+
+async fn start_hosts(hosts: usize) -> (EntryFleet, RawTarget) {
+    let fleet = EntryFleet::start(hosts, 1).await;
     let target = RawTarget::start().await;
+    fleet.links.add_address(target.address, "targets");
     fleet.replace_target(0, target.address);
-    fleet
-        .wait_until("the host reaches the target", async || {
-            exchange(fleet.ports[0].callers, &plain("GET /pages/warm")).await;
-            !target.requests().is_empty()
-        })
-        .await;
-    target.requests.lock().unwrap().clear();
+    for ports in &fleet.ports {
+        target.clear();
+        fleet
+            .wait_until("the host reaches the target", async || {
+                exchange(ports.callers, &plain("GET /pages/warm")).await;
+                !target.requests().is_empty()
+            })
+            .await;
+    }
+    target.clear();
     (fleet, target)
 }
 
@@ -195,6 +94,48 @@
     an_absolute_form: "GET http://pages.example/pages/1?a=b HTTP/1.1", "\r\n" => "GET /pages/1?a=b HTTP/1.1", "";
 }
 
+/// Each case: start line, further header lines with the body, and what the target receives by way of a peer.
+macro_rules! requests_arrive_over_a_peer {
+    ($($name:ident: $line:expr, $rest:expr => $received:expr, $body:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (fleet, target) = start_hosts(2).await;
+            fleet.cut_host(0, LinkCut::Resetting);
+            fleet
+                .wait_until("a peer serves", async || {
+                    let answer = exchange(fleet.ports[0].callers, &plain("GET /pages/warm")).await;
+                    answer.starts_with("HTTP/1.1 200")
+                })
+                .await;
+            target.clear();
+            let text = format!("{}\r\n{HEADERS}connection: close\r\n{}", $line, $rest);
+            let answer = exchange(fleet.ports[0].callers, &text).await;
+            let received = target.requests();
+            assert_eq!(received.len(), 1, "{answer}");
+            let request = &received[0];
+            assert!(request.body_text() == $body, "{} bytes", request.body.len());
+            assert_eq!((&*request.line, request.is_complete), ($received, true));
+            let head = &received[0].head;
+            assert!(head.contains("\r\nx-attempt-id: 0011223344556677\r\n"), "{head}");
+            assert!(!head.contains("buckthornturn"), "{head}");
+            let left = head.lines().find_map(|line| line.strip_prefix("x-request-deadline: "));
+            assert!((1..=2_000).contains(&left.unwrap().parse::<u64>().unwrap()), "{head}");
+        }
+    )*};
+}
+
+requests_arrive_over_a_peer! {
+    a_get_over_a_peer: "GET /pages/%61?x=%2F HTTP/1.1", "\r\n" => "GET /pages/%61?x=%2F HTTP/1.1", "";
+    a_get_with_a_chunked_body_over_a_peer: "GET /pages/1 HTTP/1.1", "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" => "GET /pages/1 HTTP/1.1", "hello";
+    a_payment_over_a_peer: "POST /payments/1 HTTP/1.1", format!("content-length: 90000\r\n\r\n{}", long_body()) => "POST /payments/1 HTTP/1.1", long_body();
+    an_absolute_form_over_a_peer: "POST http://pages.example/payments/1? HTTP/1.1", "content-length: 5\r\n\r\nhello" => "POST /payments/1? HTTP/1.1", "hello";
+}
+
+/// A body of 90,000 bytes whose parts can be told apart.
+fn long_body() -> String {
+    (0..9_000).map(|number| format!("{number:09}.")).collect()
+}
+
 /// How an HTTP/2 caller ends a body of which it has sent a part.
 #[derive(Clone, Copy, Debug)]
 enum StreamEnd {
