--- a/crates/buckthornturn/tests/support/test_host.rs
+++ b/crates/buckthornturn/tests/support/test_host.rs
@@ -15,9 +15,15 @@
 use buckthornturn::callers::key_hash;
 use buckthornturn::configuration::ConfigurationCell;
 use buckthornturn::configuration::ConfigurationState;
+use buckthornturn::interface::AdmissionGate;
+use buckthornturn::interface::AdmissionPermit;
+use buckthornturn::interface::AdmissionRefusal;
+use buckthornturn::interface::AdmissionRequest;
 use buckthornturn::interface::FreshnessCell;
 use buckthornturn::interface::TcpDialer;
 use buckthornturn::settings::CallerBounds;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio_util::task::AbortOnDropHandle;
@@ -41,13 +47,42 @@
     pub slots: u32,
     /// Limit of each route on the time to the first byte of an answer, in milliseconds.
     pub deadline_ms: u64,
+    /// Time for which each further attempt waits for its admission.
+    pub retry_wait: Duration,
     /// Limits and timeouts of the caller-facing service.
     pub bounds: CallerBounds,
 }
 
 impl Default for TestHostOptions {
     fn default() -> Self {
-        Self { host: "host-1", slots: 8, deadline_ms: 5_000, bounds: CallerBounds::default() }
+        Self {
+            host: "host-1",
+            slots: 8,
+            deadline_ms: 5_000,
+            retry_wait: Duration::ZERO,
+            bounds: CallerBounds::default(),
+        }
+    }
+}
+
+/// Gate that admits further attempts of a request after a wait.
+struct WaitingGate {
+    gate: LocalGate,
+    retry_wait: Duration,
+}
+
+impl AdmissionGate for WaitingGate {
+    fn admit(
+        &self,
+        request: AdmissionRequest,
+    ) -> BoxFuture<'_, Result<AdmissionPermit, AdmissionRefusal>> {
+        async move {
+            if request.attempt > 0 {
+                tokio::time::sleep(self.retry_wait).await;
+            }
+            self.gate.admit(request).await
+        }
+        .boxed()
     }
 }
 
@@ -90,7 +125,10 @@
             incarnation: 1,
             cell: cell.clone(),
             freshness: freshness.clone(),
-            gate: Arc::new(LocalGate::new(cell.clone(), 1)),
+            gate: Arc::new(WaitingGate {
+                gate: LocalGate::new(cell.clone(), 1),
+                retry_wait: options.retry_wait,
+            }),
             steering: Arc::new(SingleHostSteering::new(own)),
             store: Arc::clone(&store) as _,
             peers: Arc::clone(&peers) as _,
--- a/crates/buckthornturn/tests/uploads.rs
+++ b/crates/buckthornturn/tests/uploads.rs
@@ -14,6 +14,7 @@
 use support::ScriptedTarget;
 use support::TargetStep;
 use support::TestHost;
+use support::TestHostOptions;
 use support::exchange;
 use support::request;
 use support::wait_until;
@@ -23,6 +24,8 @@
 
 const PART_BYTES: usize = 10_000;
 const PART_INTERVAL: Duration = Duration::from_millis(4);
+/// Time between an early answer and the next attempt, in which more of a long body arrives.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// Time in which bytes that a host passes on reach the target.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 const RESET_COUNT: usize = 200;
@@ -69,21 +72,25 @@
     plain
 }
 
-/// Each case: start line, length of the body, and the header that frames it. A target sheds the upload as soon as it has the
-/// head, keeps the connection and reads on; another one runs it. A read of the same customer follows.
+/// Each case: start line, length of the body, and the header that frames it. The first target sheds the upload as soon as
+/// it has the head, keeps the connection and reads on; the other one runs it. Reads of the same customer follow.
 macro_rules! shed_uploads {
     ($($name:ident: $line:expr, $bytes:expr, $framing:expr;)*) => {$(
         #[tokio::test]
         async fn $name() {
-            let first = ScriptedTarget::start(&[TargetStep::ShedEarly, TargetStep::EchoPath]).await;
-            let second = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
-            let host = TestHost::start(&[first.address, second.address]).await;
+            let shedding = [TargetStep::ShedEarly, TargetStep::EchoPath];
+            let shedding = ScriptedTarget::start(&shedding).await;
+            let running = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
+            let options = TestHostOptions { retry_wait: RETRY_WAIT, ..TestHostOptions::default() };
+            let host = TestHost::start_with(&[shedding.address, running.address], options).await;
+            let address = host.address;
             let body = long_body($bytes);
             let framing = String::from($framing).replace("LENGTH", &body.len().to_string());
-            let answer = upload_slowly(host.address, $line, &[&framing], &body).await;
-            let uploads: Vec<_> = second.received_requests();
-            assert_eq!(uploads.len(), 1, "{answer}");
-            assert!(plain_body(&uploads[0]) == body, "{} of {}", plain_body(&uploads[0]).len(), body.len());
+            let answer = upload_slowly(address, $line, &[&framing], &body).await;
+            let uploads = running.received_requests();
+            assert_eq!((uploads.len(), shedding.received_requests().len()), (1, 1), "{answer}");
+            let received = plain_body(&uploads[0]);
+            assert!(received == body, "{} of {} bytes: {answer}", received.len(), body.len());
             assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
             for number in 0..4 {
                 let path = format!("/read/{number}");
