--- a/crates/buckthornturn/src/entry/attempt_log.rs
+++ b/crates/buckthornturn/src/entry/attempt_log.rs
@@ -1,6 +1,7 @@
 //! Log lines of attempts that did not end with a complete answer to a complete request.
 
 use coordination::fleet::RequestFingerprint;
+use coordination::ids::HostId;
 use http::StatusCode;
 use spdlog::info;
 
@@ -35,6 +36,15 @@
     });
 }
 
+/// Logs a request whose body is sent to a further peer.
+pub(super) fn log_forwarded_body(request: &OutgoingRequest, peer: &HostId) {
+    info!("request body sent to another peer", kv: {
+        request_id: = request.facts.attempt_id,
+        peer:,
+        received_bytes = request.upload.received_bytes()
+    });
+}
+
 /// Logs a request that could go to a further target if the start of its body were still there.
 pub(super) fn log_lost_body(request: &OutgoingRequest) {
     info!("request body cannot be sent again", kv: {
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -34,6 +34,7 @@
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::EntryState;
 use crate::entry::OutgoingRequest;
+use crate::entry::attempt_log::log_forwarded_body;
 use crate::entry::buffered_body::BufferedBody;
 use crate::entry::buffered_body::buffer_body;
 use crate::interface::CallerDialect;
@@ -78,6 +79,9 @@
         while tried.len() < MAX_PEERS_TRIED && !request.facts.time_left().is_zero() {
             let upload = request.upload.take_whole()?;
             let peer = self.choose(request, &tried)?;
+            if !tried.is_empty() && !request.upload.is_empty() {
+                log_forwarded_body(request, &peer.host);
+            }
             tried.push(peer.host.clone());
             let key = PoolKey { address: peer.callers, customer: None };
             let Some(connection) = self.connect(request, &key).await else { continue };
