--- a/crates/buckthornturn/src/entry/attempt_log.rs
+++ b/crates/buckthornturn/src/entry/attempt_log.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Logs an answer that came before the caller's body was received to its end.
+/// Logs an answer that came before its connection had taken the whole request.
 pub(super) fn log_early_answer(
     request: &OutgoingRequest,
     guard: &AttemptGuard,
