--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -63,9 +63,10 @@
         Some(WholeUpload::new(Arc::clone(self), reader))
     }
 
-    /// Reads what the caller still sends and drops it, for at most `timeout`. No connection reads the body any more.
+    /// Reads what the caller still sends and drops it, for at most `timeout`. A connection that has yet to send a body that
+    /// was received to its end goes on; otherwise no connection reads the body any more.
     pub async fn discard_rest(&self, timeout: Duration) {
-        let reader = self.lock().replace_reader();
+        let Some(reader) = self.lock().take_unfinished() else { return };
         let rest = std::future::poll_fn(|context| {
             loop {
                 match std::task::ready!(self.poll_source(reader, context, BufferRule::Never)) {
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -81,8 +81,14 @@
         }
     }
 
+    /// Number of a new reader of the rest; `None` if nothing more is expected from the caller.
+    pub(super) fn take_unfinished(&mut self) -> Option<u32> {
+        let is_over = self.finished_at.is_some() || self.fault.is_some();
+        (!is_over).then(|| self.replace_reader())
+    }
+
     /// Number of a new reader. The one before reads no more.
-    pub(super) fn replace_reader(&mut self) -> u32 {
+    fn replace_reader(&mut self) -> u32 {
         self.reader += 1;
         self.last_progress_at = Instant::now();
         self.reader
