--- a/crates/buckthornturn/tests/repeated_uploads.rs
+++ b/crates/buckthornturn/tests/repeated_uploads.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use buckthornturn::callers::Busy;
+use buckthornturn::callers::CallerBody;
 use buckthornturn::callers::Idle;
 use buckthornturn::callers::ReplayableUpload;
 use buckthornturn::callers::TargetConnection;
@@ -133,7 +134,7 @@
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
         let service = service_fn(async |request: Request<Incoming>| {
-            let bytes = exchange(request.into_body(), first, second).await;
+            let bytes = exchange(request, first, second).await;
             let _ = sender.send(bytes);
             Ok::<_, Infallible>(Response::new(Empty::<Bytes>::new()))
         });
@@ -142,7 +143,8 @@
     (receiver, address)
 }
 
-async fn exchange(body: Incoming, first: SocketAddr, second: SocketAddr) -> usize {
+async fn exchange(request: Request<Incoming>, first: SocketAddr, second: SocketAddr) -> usize {
+    let (_, body) = CallerBody::split_request(request);
     let budget = Arc::<BufferBudget>::default();
     let upload = ReplayableUpload::new(body, &budget, 8 << 20, Duration::from_secs(10));
     let refused = send(first, upload.take_whole().unwrap()).await;
