--- a/crates/buckthornturn/tests/uploads.rs
+++ b/crates/buckthornturn/tests/uploads.rs
@@ -17,6 +17,7 @@
 use support::TestHostOptions;
 use support::exchange;
 use support::request;
+use support::stamp_line;
 use support::wait_until;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -37,7 +38,9 @@
 
 /// Sends an upload in parts, a few milliseconds apart, and reads the answer.
 async fn upload_slowly(address: SocketAddr, line: &str, headers: &[&str], body: &str) -> String {
-    let head = request(line, headers, "");
+    let stamp = stamp_line(line, body);
+    let stamped: Vec<&str> = headers.iter().copied().chain([&*stamp]).collect();
+    let head = request(line, &stamped, "");
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(head.as_bytes()).await.unwrap();
     let is_chunked = headers.contains(&"transfer-encoding: chunked");
@@ -116,7 +119,8 @@
             let target = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
             let host = TestHost::start(&[target.address]).await;
             let head = format!("{}\r\nhost: s.example\r\nauthorization: Bearer {KEY_AURORA}\r\nconnection: close\r\n", $line);
-            let answer = exchange(host.address, format!("{head}{}", $rest)).await;
+            let stamp = stamp_line($received.trim_end_matches(" HTTP/1.1"), $body);
+            let answer = exchange(host.address, format!("{head}{stamp}\r\n{}", $rest)).await;
             let received = target.received_requests();
             assert_eq!(received.len(), 1, "{}", answer.text);
             assert_eq!((received[0].lines().next(), &*plain_body(&received[0])), (Some($received), $body));
