--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -55,6 +55,8 @@
 pub use once_runner::OnceGuarantee;
 pub use once_runner::reply_from_outcome;
 pub use once_runner::run_once;
+pub use refusal::NOT_RUN;
+pub use refusal::OUTCOME_HEADER;
 pub use refusal::Refusal;
 pub use replayable_upload::ReplayableUpload;
 pub use request_dispatcher::DispatchJob;
--- a/crates/buckthornturn/src/callers/refusal.rs
+++ b/crates/buckthornturn/src/callers/refusal.rs
@@ -14,6 +14,9 @@
 /// Header that says whether a refused request may have run: `not-run` or `unknown`.
 pub const OUTCOME_HEADER: &str = "buckthornturn-outcome";
 
+/// Value of that header for a request that has certainly not run.
+pub const NOT_RUN: &str = "not-run";
+
 /// Refusal of a request, sent to the caller as a problem document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
@@ -56,7 +59,7 @@
             "title": self.reason,
             "status": self.status.as_u16(),
         });
-        let outcome = if self.not_run { "not-run" } else { "unknown" };
+        let outcome = if self.not_run { NOT_RUN } else { "unknown" };
         let mut response = Response::new(Bytes::from(body.to_string()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -1,5 +1,6 @@
 //! State of an entry host that routing decisions read and change, guarded by one lock.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -147,6 +148,26 @@
         }
     }
 
+    /// Mesh address of the live host that has applied the latest change of a part; `None` if none is ahead of this host.
+    pub(super) fn peer_ahead(&self, part: StatePart) -> Option<SocketAddr> {
+        let ahead =
+            self.roster.live_hosts(Instant::now()).filter(|news| self.is_behind(part, news));
+        let furthest = ahead.reduce(|furthest, news| match part {
+            StatePart::Configuration => {
+                let position = news.configuration_position();
+                if position.supersedes(&furthest.configuration_position()) {
+                    news
+                } else {
+                    furthest
+                }
+            }
+            part => {
+                std::cmp::max_by_key(furthest, news, |news| news.applied_version(part as usize))
+            }
+        });
+        furthest.map(|news| news.mesh)
+    }
+
     /// Whether a whole part as read from another host has a later change than this host has applied.
     pub(super) fn is_later(&self, part: StatePart, snapshot: &StateBatch) -> bool {
         let known_era = self.histories[part as usize].version().era;
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -28,6 +28,7 @@
 use crate::callers::ConnectionServer;
 use crate::callers::ServerPhase;
 use crate::callers::TargetPool;
+use crate::entry::CatchUpReader;
 use crate::entry::CrashArchivist;
 use crate::entry::CrashReporter;
 use crate::entry::EntryState;
@@ -174,6 +175,8 @@
         let source = Arc::clone(&platform.source);
         tasks.spawn(StateFollower::new(Arc::clone(state), source, peers, part).run());
     }
+    let peers = PeerReader::new(Arc::clone(&platform.dialer));
+    tasks.spawn(CatchUpReader::new(Arc::clone(state), peers).run());
 }
 
 /// Starts the exchange of datagrams, and returns the parts that send some themselves.
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -20,6 +20,7 @@
 use coordination::ids::TargetId;
 use spdlog::info;
 use spdlog::warn;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::entry::BoottimeClock;
@@ -44,6 +45,7 @@
     bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
     change_count: watch::Sender<u64>,
+    pub(super) catch_up: Notify,
     core: Mutex<EntryCore>,
     pub(super) started_at: Instant,
     clock: BoottimeClock,
@@ -61,6 +63,7 @@
             settings,
             configuration: ArcSwapOption::empty(),
             change_count: watch::Sender::new(0),
+            catch_up: Notify::new(),
             core,
             started_at: Instant::now(),
             clock: BoottimeClock::start(),
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -24,6 +24,8 @@
 use crate::callers::AnswerBody;
 use crate::callers::Busy;
 use crate::callers::Idle;
+use crate::callers::NOT_RUN;
+use crate::callers::OUTCOME_HEADER;
 use crate::callers::PoolKey;
 use crate::callers::Refusal;
 use crate::callers::SendError;
@@ -53,6 +55,8 @@
 pub const UNREACHABLE_REASON: &str = "targets-unreachable";
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the configuration by which another host checked a request.
+pub const CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
 /// Largest number of peers that are tried for one request.
 const MAX_PEERS_TRIED: usize = 4;
 
@@ -88,7 +92,13 @@
             let Some(result) = self.send(request, key, connection, upload).await else { continue };
             let answer = result.as_ref().ok();
             match answer.and_then(|answer| answer.headers().get(REFUSED_HEADER)) {
-                None => return Some((peer.host, result)),
+                None => {
+                    let result = match result {
+                        Ok(answer) => self.catch_up(request, &peer.host, answer).await,
+                        failed => failed,
+                    };
+                    return Some((peer.host, result));
+                }
                 Some(reason) if reason == UNREACHABLE_REASON => {
                     self.state.lock().roster.record_lost_reach(&peer.host, Instant::now());
                 }
@@ -152,6 +162,28 @@
         }
     }
 
+    /// Learns from an answer that the peer has a later configuration than this host. Its refusal is held back until this host
+    /// has that as well, since the caller's next request would be checked against the earlier one.
+    async fn catch_up(
+        &self,
+        request: &OutgoingRequest,
+        peer: &HostId,
+        mut answer: Response<AnswerBody>,
+    ) -> ForwardResult {
+        let is_refusal =
+            answer.headers().get(OUTCOME_HEADER).is_some_and(|outcome| outcome == NOT_RUN);
+        match take_peer_position(answer.headers_mut()) {
+            Some(position) if self.state.record_peer_position(peer, position) && is_refusal => {
+                let wait = CONFIGURATION_WAIT.min(request.facts.time_left());
+                match self.state.wait_for_configuration(position, wait).await {
+                    true => Ok(answer),
+                    false => Err(behind_refusal()),
+                }
+            }
+            _ => Ok(answer),
+        }
+    }
+
     /// Records that the target of the peer's answer leaves: this host passes the answer on, and may reach the target later.
     fn record_leaving(&self, headers: &mut HeaderMap) {
         let Some(report) = take_leaving(headers) else { return };
@@ -184,6 +216,12 @@
     }
 }
 
+/// Refusal of a request that a configuration decides which this host does not have yet.
+pub fn behind_refusal() -> Refusal {
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "configuration-behind")
+        .retry_after(CONFIGURATION_WAIT)
+}
+
 /// Marks an answer as the refusal of a host that does not take a forwarded request.
 pub fn mark_refused(headers: &mut HeaderMap, reason: &'static str) {
     headers.insert(REFUSED_HEADER, HeaderValue::from_static(reason));
@@ -207,15 +245,16 @@
     Some(LeavingReport { target: target.into(), started_at: started_at.parse().ok()? })
 }
 
-fn set_peer_position(headers: &mut HeaderMap, position: &ConfigurationPosition) {
+/// Names a place of a configuration: the one that a forwarded request was checked against, or the one of the host that answers.
+pub fn set_peer_position(headers: &mut HeaderMap, position: &ConfigurationPosition) {
     let StateVersion { era, revision } = position.stored_at;
     headers.insert(REVISION_HEADER, HeaderValue::from(revision));
     headers.insert(ERA_HEADER, HeaderValue::from(era));
     headers.insert(NUMBER_HEADER, HeaderValue::from(position.number));
 }
 
-/// Removes the headers by which a peer forwards a request, and returns the place of the configuration that they name. Hosts of
-/// an earlier version name its revision only.
+/// Removes the headers by which a peer names the place of its configuration, and returns it. Hosts of an earlier version name
+/// the revision only, and none in answers.
 pub fn take_peer_position(headers: &mut HeaderMap) -> Option<ConfigurationPosition> {
     let mut take_number =
         |name: HeaderName| headers.remove(name)?.to_str().ok()?.parse::<u64>().ok();
--- a/crates/buckthornturn/src/entry/proxy_peers.rs
+++ b/crates/buckthornturn/src/entry/proxy_peers.rs
@@ -1,19 +1,22 @@
 //! Requests that peers serve for this host, or this host for peers.
 
-use std::time::Duration;
-
 use coordination::fleet::ConfigurationPosition;
-use http::StatusCode;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
 
+use crate::callers::AnswerBody;
 use crate::callers::Refusal;
 use crate::entry::ForwardResult;
 use crate::entry::OutgoingRequest;
 use crate::entry::ProxyService;
 use crate::entry::UNREACHABLE_REASON;
+use crate::entry::mark_refused;
+use crate::entry::peer_forwarder::CONFIGURATION_WAIT;
+use crate::entry::peer_forwarder::behind_refusal;
+use crate::entry::proxy_service::unavailable_refusal;
 use crate::entry::request_record::RequestRecord;
-
-/// Longest wait for the configuration that a peer checked a forwarded request against.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
+use crate::entry::set_peer_position;
 
 impl ProxyService {
     /// Whether a request that this host refuses may still go to a peer: it did not run, or may run again within the retry
@@ -48,21 +51,31 @@
         Some(result)
     }
 
-    /// Refusal of a request that a peer forwarded if this host reaches no target either, or does not get the configuration
-    /// in time that the peer checked the request against.
-    pub(super) async fn refusal_for_peer(
+    /// Serves a request that a peer forwarded, unless this host reaches no target either or does not get the configuration in
+    /// time that the peer checked the request against.
+    pub(super) async fn serve_for_peer(
         &self,
+        request: Request<Incoming>,
         position: ConfigurationPosition,
-    ) -> Option<Refusal> {
-        let is_lost = self.state.lock().reach.is_lost();
-        let reason = match is_lost {
-            true => UNREACHABLE_REASON,
-            false if self.state.wait_for_configuration(position, CONFIGURATION_WAIT).await => {
-                return None;
+    ) -> Response<AnswerBody> {
+        let refusal = match self.state.lock().reach.is_lost() {
+            true => Some(unavailable_refusal(UNREACHABLE_REASON).retry_after(CONFIGURATION_WAIT)),
+            false => None,
+        };
+        let refusal = match refusal {
+            None if !self.state.wait_for_configuration(position, CONFIGURATION_WAIT).await => {
+                Some(behind_refusal())
             }
-            false => "configuration-behind",
+            refusal => refusal,
         };
-        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
-        Some(refusal.retry_after(CONFIGURATION_WAIT))
+        if let Some(refusal) = refusal {
+            let mut response = self.refusal_response(&refusal);
+            mark_refused(response.headers_mut(), refusal.reason);
+            return response;
+        }
+        let mut response = self.serve_request(request, true).await;
+        let position = self.state.lock().configuration_position();
+        set_peer_position(response.headers_mut(), &position);
+        response
     }
 }
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -38,7 +38,6 @@
 use crate::entry::attempt_log::log_lost_body;
 use crate::entry::attempt_runner::TARGET_FAILED;
 use crate::entry::attempt_runner::body_fault_reason;
-use crate::entry::mark_refused;
 use crate::entry::proxy_refusals::RETRY_AFTER_BOUNDS;
 use crate::entry::request_facts::requests_upgrade;
 use crate::entry::request_record::RequestRecord;
@@ -89,14 +88,17 @@
         mut request: Request<Incoming>,
         _peer: SocketAddr,
     ) -> Response<AnswerBody> {
-        let peer_position = take_peer_position(request.headers_mut());
-        if let Some(position) = peer_position
-            && let Some(refusal) = self.refusal_for_peer(position).await
-        {
-            let mut response = self.refusal_response(&refusal);
-            mark_refused(response.headers_mut(), refusal.reason);
-            return response;
+        match take_peer_position(request.headers_mut()) {
+            Some(position) => self.serve_for_peer(request, position).await,
+            None => self.serve_request(request, false).await,
         }
+    }
+
+    pub(super) async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        is_forwarded: bool,
+    ) -> Response<AnswerBody> {
         let Some(configuration) = self.state.configuration() else {
             let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-configuration");
             return self.refusal_response(&refusal.retry_after(UNAVAILABLE_PAUSE));
@@ -121,7 +123,7 @@
             }
         };
         let mut request = OutgoingRequest::new(facts, head, upload);
-        request.is_forwarded = peer_position.is_some();
+        request.is_forwarded = is_forwarded;
         let mut record = RequestRecord::new();
         let result = self.admit_and_forward(&request, &mut record).await;
         self.log_request(&request, &record, &result);
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -263,25 +263,8 @@
         }
     }
 
-    /// Mesh address of the live host that has applied the latest change; `None` if none is ahead of this host.
     fn peer_ahead(&self) -> Option<SocketAddr> {
-        let core = self.state.lock();
-        let ahead = core.roster.live_hosts(Instant::now());
-        let ahead = ahead.filter(|news| core.is_behind(self.part, news));
-        let furthest = ahead.reduce(|furthest, news| match self.part {
-            StatePart::Configuration => {
-                let position = news.configuration_position();
-                if position.supersedes(&furthest.configuration_position()) {
-                    news
-                } else {
-                    furthest
-                }
-            }
-            part => {
-                std::cmp::max_by_key(furthest, news, |news| news.applied_version(part as usize))
-            }
-        });
-        furthest.map(|news| news.mesh)
+        self.state.lock().peer_ahead(self.part)
     }
 
     /// Waits until another host has been ahead for too long, this host has to poll for its region, or the part is to be
--- a/crates/buckthornturn/tests/platform/lost_links.rs
+++ b/crates/buckthornturn/tests/platform/lost_links.rs
@@ -1,5 +1,6 @@
 //! Hosts that lose their links to all targets, while callers, the store and the other hosts still reach them.
 
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,10 +8,13 @@
 use serde_json::Value;
 use serde_json::json;
 use standin::network::LinkCut;
+use standin::platform::ConfigurationLedger;
 
 use crate::entry_fleet::CallerRequest;
 use crate::entry_fleet::EntryFleet;
 use crate::entry_fleet::get;
+use crate::eras::probe_hosts;
+use crate::eras::write_version;
 
 /// Time after the cut from which callers of the cut hosts are to be served like the others.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -19,6 +23,10 @@
 const HEALED_TIME: Duration = Duration::from_secs(4);
 /// Pause between two requests to a host, for each host of the fleet: a busy machine can keep up with the whole load.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(15);
+/// Name in the link table of the place that hosts read each other's state from.
+const MESH_LINKS: &str = "mesh";
+/// Time for which probes ask which configuration a host serves by.
+const PROBE_TIME: Duration = Duration::from_secs(4);
 
 /// First tries, and those of them that were served.
 #[derive(Clone, Copy, Debug, Default)]
@@ -127,3 +135,46 @@
         serde_json::from_slice(get(fleet.ports[0].look_ups, path).await.body()).unwrap();
     assert_eq!(listed["addresses"].as_array().unwrap().len(), 2);
 }
+
+macro_rules! news_of_peers {
+    ($($(#[$attribute:meta])* $name:ident: $cut:expr;)*) => {
+        $($(#[$attribute])* #[tokio::test(flavor = "multi_thread", worker_threads = 4)] async fn $name() {
+            check_news_of_peers($cut).await;
+        })*
+    };
+}
+
+news_of_peers! {
+    /// Callers of a host without links saw a peer's refusal by a new configuration, and then refusals by the one before it.
+    a_host_without_links_does_not_go_back_behind_the_configuration_of_its_peer: None;
+    refusals_by_a_configuration_that_a_host_cannot_read_do_not_reach_its_callers: Some(LinkCut::Silent);
+}
+
+/// Changes the configuration while the first host reaches neither targets nor the store; `mesh_cut` is how it loses the state
+/// that other hosts tell.
+async fn check_news_of_peers(mesh_cut: Option<LinkCut>) {
+    let mut fleet = EntryFleet::start(0, 4).await;
+    for number in 0..3 {
+        fleet.start_host_in(number, "north-a").await;
+    }
+    for host in 0..3 {
+        fleet.wait_until("the host is ready", async || fleet.is_ready(host).await).await;
+    }
+    write_version(&fleet, 2);
+    fleet.cut_host(0, LinkCut::Refusing);
+    send_load(&fleet, Duration::from_secs(2), Duration::ZERO).await;
+    fleet.cut_store(0, LinkCut::Silent);
+    if let Some(cut) = mesh_cut {
+        fleet.ports.iter().for_each(|ports| fleet.links.add_address(ports.mesh, MESH_LINKS));
+        fleet.links.cut_link("host-0", MESH_LINKS, cut);
+    }
+    let ledger = Mutex::new(ConfigurationLedger::default());
+    let change = async {
+        tokio::time::sleep(PROBE_TIME / 4).await;
+        write_version(&fleet, 3);
+    };
+    tokio::join!(change, probe_hosts(&fleet, 0, 3, PROBE_TIME, &ledger));
+    let stale = ledger.lock().unwrap().stale_requests(PROBE_TIME, Instant::now());
+    assert!(stale.checks > 100, "{stale:?}");
+    assert_eq!(stale.regressed, 0, "{stale:?}");
+}
--- a/crates/coordination/src/fleet/host_heartbeat.rs
+++ b/crates/coordination/src/fleet/host_heartbeat.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    pub(super) fn set_configuration_position(&mut self, position: ConfigurationPosition) {
+        self.applied[0] = position.stored_at.revision;
+        self.eras[0] = position.stored_at.era;
+        self.configuration_number = position.number;
+    }
+
     /// Returns the latest era of the store that the host has read.
     pub fn store_era(&self) -> Era {
         self.eras.into_iter().max().unwrap_or_default()
--- a/crates/coordination/src/fleet/host_roster.rs
+++ b/crates/coordination/src/fleet/host_roster.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::ConfigurationPosition;
 use crate::fleet::HostHeartbeat;
 use crate::fleet::HostPhase;
 use crate::ids::HostId;
@@ -112,6 +113,16 @@
         }
     }
 
+    /// Records that a host serves by a configuration, which may be later than its latest heartbeat says.
+    pub fn record_position(&mut self, host: &str, position: ConfigurationPosition) {
+        match self.entries.get_mut(host).map(|known| &mut known.heartbeat) {
+            Some(known) if position.supersedes(&known.configuration_position()) => {
+                known.set_configuration_position(position);
+            }
+            _ => {}
+        }
+    }
+
     fn insert(
         &mut self,
         heartbeat: HostHeartbeat,
