--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Learns from an answer that the peer has a later configuration than this host. Its refusal is held back until this host
+    /// Learns from an answer that the peer has a later configuration than this host. A refusal by it is held back until this host
     /// has that as well, since the caller's next request would be checked against the earlier one.
     async fn catch_up(
         &self,
@@ -170,8 +170,7 @@
         peer: &HostId,
         mut answer: Response<AnswerBody>,
     ) -> ForwardResult {
-        let is_refusal =
-            answer.headers().get(OUTCOME_HEADER).is_some_and(|outcome| outcome == NOT_RUN);
+        let is_refusal = is_refused_by_configuration(&answer);
         match take_peer_position(answer.headers_mut()) {
             Some(position) if self.state.record_peer_position(peer, position) && is_refusal => {
                 let wait = CONFIGURATION_WAIT.min(request.facts.time_left());
@@ -216,6 +215,14 @@
     }
 }
 
+/// Whether a peer refused a request because of its configuration, not for want of tokens or targets.
+fn is_refused_by_configuration(answer: &Response<AnswerBody>) -> bool {
+    let outcome = answer.headers().get(OUTCOME_HEADER);
+    let is_decided =
+        answer.status().is_client_error() && answer.status() != StatusCode::TOO_MANY_REQUESTS;
+    is_decided && outcome.is_some_and(|outcome| outcome == NOT_RUN)
+}
+
 /// Refusal of a request that a configuration decides which this host does not have yet.
 pub fn behind_refusal() -> Refusal {
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "configuration-behind")
