--- a/crates/buckthornturn/src/admission/gate_core.rs
+++ b/crates/buckthornturn/src/admission/gate_core.rs
@@ -22,6 +22,7 @@
 use crate::admission::OwnHost;
 use crate::admission::customer_account::CustomerAccount;
 use crate::admission::domain_split::DomainSplit;
+use crate::admission::free_targets::FreeTargets;
 use crate::admission::link_meter::LinkMeter;
 use crate::admission::owner_state::OwnerState;
 use crate::admission::service_state::ServiceState;
@@ -29,6 +30,7 @@
 use crate::admission::service_state::SlotWaiter;
 use crate::admission::target_slots::SlotSource;
 use crate::admission::target_slots::TargetSlots;
+use crate::configuration::PriorityClass;
 use crate::interface::AdmissionRefusal;
 use crate::interface::AdmissionRequest;
 use crate::interface::TargetCandidate;
@@ -102,8 +104,8 @@
         }
     }
 
-    /// Grants a slot at once if one is free and no other request of the service is queued. Otherwise it queues the
-    /// request or refuses it.
+    /// Grants a slot at once if one is free that no queued request of the service can use. Otherwise it queues the request
+    /// or refuses it.
     pub(crate) fn request_slot(
         &mut self,
         request: AdmissionRequest,
@@ -111,11 +113,7 @@
         now: Instant,
     ) -> Result<SlotOutcome, AdmissionRefusal> {
         self.check_pause(now);
-        let is_queue_empty = self
-            .services
-            .get(&request.service)
-            .is_some_and(|service_state| service_state.queue.is_empty());
-        let acquired = match is_queue_empty {
+        let acquired = match self.is_served_first(&request.service, weights, now) {
             true => self.acquire_slot(&request, weights, now),
             false => None,
         };
@@ -127,7 +125,7 @@
         self.enqueue(request, now)
     }
 
-    /// Grants slots to queued requests of a service, in queue order, until none is free for the next one. The caller
+    /// Grants slots to queued requests of a service, in queue order, until none is free that a request can use. The caller
     /// delivers them after it has released the lock.
     pub(crate) fn dispatch_waiting(
         &mut self,
@@ -136,9 +134,7 @@
         now: Instant,
     ) -> Vec<SlotDelivery> {
         let mut deliveries = Vec::new();
-        while let Some(waiter) =
-            self.services.get_mut(service).and_then(|service_state| service_state.queue.pop(now))
-        {
+        while let Some(waiter) = self.pop_waiter(service, weights, now) {
             if waiter.sender.is_closed() {
                 continue;
             }
@@ -197,6 +193,58 @@
         [(own.clone(), region.into()), (region.into(), own.clone())]
     }
 
+    /// Removes and returns the next queued request of a service that can use a free slot, or that was abandoned.
+    fn pop_waiter(
+        &mut self,
+        service: &str,
+        weights: &dyn TargetWeights,
+        now: Instant,
+    ) -> Option<SlotWaiter> {
+        if self.services.get(service)?.queue.is_empty() {
+            return None;
+        }
+        let free = self.free_targets(service, weights, now);
+        if free.is_empty() {
+            return None;
+        }
+        let can_serve =
+            |waiter: &SlotWaiter| waiter.sender.is_closed() || free.serve(&waiter.request);
+        self.services.get_mut(service)?.queue.pop_where(now, can_serve)
+    }
+
+    /// Whether no queued request of a service can use any of the free slots.
+    fn is_served_first(
+        &mut self,
+        service: &str,
+        weights: &dyn TargetWeights,
+        now: Instant,
+    ) -> bool {
+        let is_empty = |service_state: &ServiceState| service_state.queue.is_empty();
+        match self.services.get(service).map(is_empty) {
+            None => return false,
+            Some(true) => return true,
+            Some(false) => {}
+        }
+        let free = self.free_targets(service, weights, now);
+        let can_use =
+            |waiter: &SlotWaiter| !waiter.sender.is_closed() && free.serve(&waiter.request);
+        let service_state = self.services.get(service);
+        service_state.is_some_and(|service_state| !service_state.queue.items().any(can_use))
+    }
+
+    /// Targets of a service with a free slot, by the priority classes that their links admit.
+    fn free_targets(
+        &mut self,
+        service: &str,
+        weights: &dyn TargetWeights,
+        now: Instant,
+    ) -> FreeTargets {
+        FreeTargets::new(|priority| {
+            let candidates = self.candidates(service, priority, &[], weights, now);
+            candidates.into_iter().map(|candidate| candidate.target).collect()
+        })
+    }
+
     /// Lets the weights choose a target and acquires a slot of it; `None` if no target has a free slot.
     fn acquire_slot(
         &mut self,
@@ -204,7 +252,8 @@
         weights: &dyn TargetWeights,
         now: Instant,
     ) -> Option<(TargetId, SlotSource)> {
-        let candidates = self.candidates(request, weights, now);
+        let (service, excluded) = (&request.service, &request.excluded);
+        let candidates = self.candidates(service, request.priority, excluded, weights, now);
         let index = match candidates.len() {
             0 => return None,
             _ => weights.choose(request, &candidates, now)?,
@@ -214,21 +263,23 @@
         Some((target, source))
     }
 
-    /// Returns the service's targets that have a free slot under their weight and whose link admits the request's
-    /// priority class, without those that the request excludes.
+    /// Returns the service's targets that have a free slot under their weight and whose link admits the priority class,
+    /// without the excluded ones.
     fn candidates(
         &mut self,
-        request: &AdmissionRequest,
+        service: &str,
+        priority: PriorityClass,
+        excluded: &[TargetId],
         weights: &dyn TargetWeights,
         now: Instant,
     ) -> Vec<TargetCandidate> {
-        let Some(service_state) = self.services.get(&request.service) else { return Vec::new() };
+        let Some(service_state) = self.services.get(service) else { return Vec::new() };
         let mut reachable: IndexMap<&str, bool> = IndexMap::new();
         let mut candidates = Vec::new();
         for name in &service_state.targets {
             let Some(slots) = self.targets.get(name) else { continue };
             let (usable, in_flight) = (slots.usable(now), slots.in_flight());
-            if in_flight >= usable || request.excluded.contains(name) {
+            if in_flight >= usable || excluded.contains(name) {
                 continue;
             }
             if in_flight >= weighted_slots(usable, weights.weight(name, now)) {
@@ -239,9 +290,8 @@
             let is_reachable = *reachable.entry(&slots.region).or_insert_with(|| {
                 let ends =
                     [(own.clone(), slots.region.clone()), (slots.region.clone(), own.clone())];
-                ends.iter().all(|ends| {
-                    links.get_mut(ends).is_none_or(|meter| meter.admits(request.priority, now))
-                })
+                ends.iter()
+                    .all(|ends| links.get_mut(ends).is_none_or(|meter| meter.admits(priority, now)))
             });
             if is_reachable {
                 candidates.push(TargetCandidate {
--- a/crates/buckthornturn/src/admission/mod.rs
+++ b/crates/buckthornturn/src/admission/mod.rs
@@ -7,6 +7,7 @@
 mod floor_planner;
 mod floor_tracker;
 mod floor_updates;
+mod free_targets;
 mod gate_core;
 mod gate_shared;
 mod least_in_flight;
--- a/crates/buckthornturn/tests/gate.rs
+++ b/crates/buckthornturn/tests/gate.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use buckthornturn::interface::AdmissionGate;
+use buckthornturn::interface::AdmissionPermit;
 use buckthornturn::interface::AdmissionRefusal;
+use buckthornturn::interface::AdmissionRequest;
 use buckthornturn::interface::DispatchOutcome;
 use buckthornturn::interface::MemberHealth;
 use coordination::floor_plan::FloorPlan;
@@ -33,6 +35,7 @@
     burst: 10.0,
     customers: 8,
 };
+const UNLIMITED_FLEET: FleetShape = FleetShape { rate: 1e6, burst: 1e6, ..LARGE_FLEET };
 const SMALL_FLEET: FleetShape =
     FleetShape { hosts: 2, domains: 2, targets: 2, slots: 2, ..LARGE_FLEET };
 
@@ -331,3 +334,49 @@
     let permit = fleet.hosts[1].gate.admit(request(0, timeout)).await;
     assert!(permit.is_ok(), "{:?}", permit.err());
 }
+
+/// One host with two targets of one slot each, both in use. Returns the permits by target.
+async fn start_with_full_targets() -> (GateFleet, IndexMap<Box<str>, AdmissionPermit>) {
+    let shape = FleetShape { slots: 1, hosts: 1, domains: 1, targets: 2, ..UNLIMITED_FLEET };
+    let fleet = GateFleet::start(shape).await;
+    let mut permits = IndexMap::new();
+    for _ in 0..2 {
+        let permit = fleet.admit(0, 0).await.unwrap();
+        permits.insert(permit.target.clone(), permit);
+    }
+    (fleet, permits)
+}
+
+fn retry_elsewhere(customer: usize, excluded: &[&str]) -> AdmissionRequest {
+    let excluded = excluded.iter().map(|target| (*target).into()).collect();
+    AdmissionRequest { attempt: 1, excluded, ..request(customer, Duration::from_secs(5)) }
+}
+
+/// A retry at the head of the queue may not use the free target; those behind it waited for it until its deadline.
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_waits_for_another_target_keeps_no_queued_request_out() {
+    let (fleet, mut permits) = start_with_full_targets().await;
+    let gate = Arc::clone(&fleet.hosts[0].gate);
+    let retry = tokio::spawn(async move { gate.admit(retry_elsewhere(0, &["x0"])).await });
+    sleep_millis(10).await;
+    let gate = Arc::clone(&fleet.hosts[0].gate);
+    let queued = tokio::spawn(async move { gate.admit(request(0, Duration::from_secs(5))).await });
+    sleep_millis(10).await;
+    let freed_at = now();
+    drop(permits.swap_remove("x0"));
+    let permit = queued.await.unwrap().unwrap();
+    assert_eq!((&*permit.target, now() - freed_at), ("x0", Duration::ZERO));
+    drop(permits.swap_remove("x1"));
+    assert_eq!(&*retry.await.unwrap().unwrap().target, "x1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_waits_for_another_target_keeps_no_new_request_out() {
+    let (fleet, mut permits) = start_with_full_targets().await;
+    drop(permits.swap_remove("x0"));
+    let gate = Arc::clone(&fleet.hosts[0].gate);
+    let _retry = tokio::spawn(async move { gate.admit(retry_elsewhere(0, &["x0"])).await });
+    sleep_millis(10).await;
+    let (arrived_at, permit) = (now(), fleet.admit(0, 1).await.unwrap());
+    assert_eq!((&*permit.target, now() - arrived_at), ("x0", Duration::ZERO));
+}
--- a/crates/coordination/src/fair_queue.rs
+++ b/crates/coordination/src/fair_queue.rs
@@ -152,20 +152,38 @@
 
     /// Removes and returns the item that is served next; `None` if the queue is empty.
     pub fn pop(&mut self, now: Instant) -> Option<T> {
-        let class = self.next_class()?;
-        let ring = self.classes.get_mut(class)?;
-        ring.skips = 0;
-        let entry = ring.pop()?;
+        self.pop_where(now, |_| true)
+    }
+
+    /// Removes and returns the first item, in the order of service, that can be served now. Items that cannot are passed
+    /// over and keep their places. `None` if no item can be served.
+    pub fn pop_where(&mut self, now: Instant, can_serve: impl Fn(&T) -> bool) -> Option<T> {
+        let served = self.class_order().into_iter().flatten().find_map(|class| {
+            let entry = self.classes.get_mut(class)?.pop_where(&can_serve)?;
+            Some((class, entry))
+        });
+        let Some((class, entry)) = served else {
+            self.last_served_at = None;
+            return None;
+        };
         self.waiting -= 1;
         for (index, other) in self.classes.iter_mut().enumerate() {
-            if index != class && !other.queues.is_empty() {
-                other.skips = other.skips.saturating_add(1);
+            match index == class {
+                true => other.skips = 0,
+                false if !other.queues.is_empty() => other.skips = other.skips.saturating_add(1),
+                false => {}
             }
         }
         self.record_service(now);
         Some(entry.item)
     }
 
+    /// Items that wait, in no particular order.
+    pub fn items(&self) -> impl Iterator<Item = &T> {
+        let queues = self.classes.iter().flat_map(|ring| ring.queues.values());
+        queues.flat_map(|queue| queue.entries.iter().map(|entry| &entry.item))
+    }
+
     /// Returns an item to the front of its customer's queue, bounds aside, and credits the customer with the turn that
     /// was not used.
     pub fn requeue(&mut self, item: T, params: EntryParams) {
@@ -194,7 +212,8 @@
         expired
     }
 
-    fn next_class(&self) -> Option<usize> {
+    /// Classes with items in the order in which they are served: one that was skipped too often, then the most urgent.
+    fn class_order(&self) -> [Option<usize>; QUEUE_CLASSES + 1] {
         let is_waiting =
             |index: &usize| self.classes.get(*index).is_some_and(|ring| !ring.queues.is_empty());
         let is_overdue = |index: &usize| {
@@ -202,7 +221,12 @@
             self.classes.get(*index).is_some_and(|ring| ring.skips >= limit)
         };
         let waiting_classes = || (0..QUEUE_CLASSES).filter(is_waiting);
-        waiting_classes().rev().find(is_overdue).or_else(|| waiting_classes().next())
+        let mut order = [None; QUEUE_CLASSES + 1];
+        let overdue = waiting_classes().rev().find(is_overdue);
+        for (place, class) in order.iter_mut().zip(overdue.into_iter().chain(waiting_classes())) {
+            *place = Some(class);
+        }
+        order
     }
 
     /// Updates the average service interval. Only the time between two items served while others still waited counts,
@@ -240,19 +264,25 @@
         own + others.map(|(_, queue)| share(queue)).sum::<usize>()
     }
 
-    fn pop(&mut self) -> Option<QueueEntry<T>> {
-        if self.next_index >= self.queues.len() {
-            self.next_index = 0;
-        }
-        let (_, queue) = self.queues.get_index_mut(self.next_index)?;
+    /// Takes the first item that can be served. The turn passes to its customer.
+    fn pop_where(&mut self, can_serve: &impl Fn(&T) -> bool) -> Option<QueueEntry<T>> {
+        let count = self.queues.len();
+        let (index, place) = (0..count).find_map(|step| {
+            let index = (self.next_index.min(count) + step) % count;
+            let (_, queue) = self.queues.get_index(index)?;
+            let place = queue.entries.iter().position(|entry| can_serve(&entry.item))?;
+            Some((index, place))
+        })?;
+        self.next_index = index;
+        let (_, queue) = self.queues.get_index_mut(index)?;
         if queue.deficit == 0 {
             queue.deficit = queue.weight;
         }
         queue.deficit -= 1;
-        let entry = queue.entries.pop_front()?;
+        let entry = queue.entries.remove(place)?;
         let (is_empty, is_spent) = (queue.entries.is_empty(), queue.deficit == 0);
         match is_empty {
-            true => drop(self.queues.shift_remove_index(self.next_index)),
+            true => drop(self.queues.shift_remove_index(index)),
             false if is_spent => self.next_index += 1,
             false => {}
         }
--- a/crates/coordination/tests/queues.rs
+++ b/crates/coordination/tests/queues.rs
@@ -60,6 +60,33 @@
         [("archive", 1, 2, 3), ("urgent", 1, 0, 20), ("more", 1, 0, 20)], 35 => [("archive", 2)],
 }
 
+/// An item that can not be served is passed over; it kept all those behind it waiting.
+#[test]
+fn items_behind_one_that_cannot_be_served_are_served() {
+    let now = Instant::now();
+    let mut queue = queue_of(&[("stuck", 1, 0, 2), ("light", 1, 0, 1), ("archive", 1, 2, 1)], now);
+    let served: Vec<_> =
+        std::iter::from_fn(|| queue.pop_where(now, |name| *name != "stuck")).collect();
+    assert_eq!((served, queue.len()), (vec!["light", "archive"], 2));
+    assert_eq!(queue.items().copied().collect::<Vec<_>>(), ["stuck", "stuck"]);
+    assert_eq!(queue.pop(now), Some("stuck"));
+}
+
+#[test]
+fn the_time_of_an_item_that_cannot_be_served_is_no_service_time() {
+    let now = Instant::now();
+    let mut queue = queue_of(&[("stuck", 1, 0, 1), ("light", 1, 0, 2)], now);
+    let later = now + Duration::from_secs(60);
+    for served_at in [now, now, later] {
+        queue.pop_where(served_at, |name| *name != "stuck");
+    }
+    assert!(
+        queue.push("light", params("light", 1, 0, later + Duration::from_secs(10)), later).is_ok()
+    );
+    assert_eq!(queue.pop_where(later, |name| *name != "stuck"), Some("light"));
+    assert_eq!(queue.expected_wait(&params("light", 1, 0, later)), Duration::ZERO);
+}
+
 #[test]
 fn a_full_customer_queue_refuses_at_once() {
     let now = Instant::now();
