--- a/crates/buckthornturn/src/admission/mod.rs
+++ b/crates/buckthornturn/src/admission/mod.rs
@@ -21,6 +21,7 @@
 mod slot_borrower;
 mod slot_guard;
 mod slot_leasing;
+mod slot_lender;
 mod target_slots;
 mod token_round;
 
--- a/crates/buckthornturn/src/admission/slot_leasing.rs
+++ b/crates/buckthornturn/src/admission/slot_leasing.rs
@@ -17,6 +17,11 @@
 use crate::admission::owner_state::OwnerState;
 use crate::admission::owner_state::first_sequence;
 use crate::admission::service_state::ServiceState;
+use crate::admission::service_state::SlotWaiter;
+use crate::admission::slot_lender::LeaseRequestTable;
+use crate::admission::slot_lender::SlotLender;
+use crate::admission::slot_lender::request_more;
+use crate::admission::target_slots::TargetSlots;
 use crate::interface::MemberHealth;
 use crate::interface::MemberView;
 use crate::interface::SlotLease;
@@ -36,8 +41,6 @@
     pub(crate) wanted: Vec<(TargetId, u32)>,
 }
 
-type LeaseRequestTable = IndexMap<HostId, IndexMap<TargetId, LeaseRequest>>;
-
 impl GateCore {
     /// Returns the lease messages to send now. They renew leases, request slots for the recent demand and return
     /// surplus ones.
@@ -51,13 +54,17 @@
         let services: Vec<_> = self.services.keys().cloned().collect();
         for service in services {
             let shortfall = self.slot_shortfall(&service, weights, now);
+            let lenders = self.lenders(&service, members, weights, now);
             match shortfall {
                 0.. => {
                     let wanted = u32::try_from(shortfall).unwrap_or(u32::MAX);
-                    self.request_more(&service, wanted, members, weights, &mut requests, now);
+                    request_more(&lenders, &[], wanted, &mut requests);
                 }
                 _ => self.request_fewer(&service, shortfall.unsigned_abs(), &mut requests),
             }
+            for (excluded, wanted) in self.waiters_elsewhere(&service, weights, now) {
+                request_more(&lenders, excluded, wanted, &mut requests);
+            }
         }
         let mut messages = Vec::new();
         for (owner, wanted) in requests {
@@ -229,57 +236,64 @@
         i64::from(wanted) - i64::from(own_usable) - i64::from(usable)
     }
 
-    /// Requests missing slots, first from the nearest owners and the targets with the fewest slots requested so far, and
-    /// at most half of each target. Skips owners that are gone or have recently declined, and owners in this host's own
-    /// failure domain while that is drained.
-    fn request_more(
+    /// Number of queued requests for which this host has no slot of a target that they do not exclude, by the targets that
+    /// they exclude.
+    fn waiters_elsewhere(
+        &self,
+        service: &str,
+        weights: &dyn TargetWeights,
+        now: Instant,
+    ) -> IndexMap<&[TargetId], u32> {
+        let mut waiters = IndexMap::new();
+        let Some(service_state) = self.services.get(service) else { return waiters };
+        let is_usable = |name: &TargetId| {
+            let slots = self.targets.get(name);
+            slots.is_some_and(|slots| slots.usable(now) > 0) && weights.weight(name, now) > 0.0
+        };
+        let has_exclusions = |waiter: &&SlotWaiter| !waiter.request.excluded.is_empty();
+        for waiter in service_state.queue.items().filter(has_exclusions) {
+            *waiters.entry(&*waiter.request.excluded).or_default() += 1;
+        }
+        waiters.retain(|excluded, _| {
+            let mut targets = service_state.targets.iter();
+            !targets.any(|name| !excluded.contains(name) && is_usable(name))
+        });
+        waiters
+    }
+
+    /// Targets of a service whose owners may lend slots, without owners that are gone or have recently declined, and owners in
+    /// this host's own failure domain while that is drained.
+    fn lenders(
         &self,
         service: &str,
-        missing: u32,
         members: &MemberView,
         weights: &dyn TargetWeights,
-        requests: &mut LeaseRequestTable,
         now: Instant,
-    ) {
+    ) -> Vec<SlotLender> {
         let is_drained = weights.own_domain_share(service) < 1.0;
-        let Some(service_state) = self.services.get(service) else { return };
-        let mut candidates: Vec<_> = service_state
-            .targets
-            .iter()
-            .filter_map(|name| self.targets.get(name).map(|slots| (name, slots)))
+        let Some(service_state) = self.services.get(service) else { return Vec::new() };
+        let slots_of = |name| self.targets.get(name).map(|slots| (name, slots));
+        let lender_of = |(name, slots): (&TargetId, &TargetSlots)| {
+            let owner = slots.owner.as_ref().filter(|owner| **owner != self.own.host)?;
+            let member = members.member(owner)?;
+            let is_own_domain = member.failure_domain == self.own.failure_domain;
+            let distance = match member.health {
+                MemberHealth::Gone => return None,
+                _ if is_drained && is_own_domain => return None,
+                _ if is_own_domain => 0,
+                _ if member.region == self.own.region => 1,
+                _ => 2,
+            };
+            let (owner, target) = (owner.clone(), name.clone());
+            Some(SlotLender { owner, target, distance, total: slots.total })
+        };
+        let targets = service_state.targets.iter().filter_map(slots_of);
+        targets
             .filter(|(name, slots)| {
                 !slots.was_recently_declined(now) && weights.weight(name, now) > 0.0
             })
-            .filter_map(|(name, slots)| {
-                let owner = slots.owner.as_ref().filter(|owner| **owner != self.own.host)?;
-                let member = members.member(owner)?;
-                let distance = match member.health {
-                    MemberHealth::Gone => return None,
-                    _ if is_drained && member.failure_domain == self.own.failure_domain => {
-                        return None;
-                    }
-                    _ if member.failure_domain == self.own.failure_domain => 0,
-                    _ if member.region == self.own.region => 1,
-                    _ => 2,
-                };
-                let current_request = requests.get(owner).and_then(|wanted| wanted.get(name));
-                let already_requested = current_request.map_or(0, |request| request.wanted);
-                Some((distance, already_requested, name, owner, slots.total))
-            })
-            .collect();
-        candidates.sort_by_key(|(distance, already_requested, ..)| (*distance, *already_requested));
-        let mut remaining = missing;
-        for (_, already_requested, name, owner, total) in candidates {
-            if remaining == 0 {
-                break;
-            }
-            let extra =
-                (total / 2).max(1).min(total.saturating_sub(already_requested)).min(remaining);
-            remaining -= extra;
-            let request =
-                requests.entry(owner.clone()).or_default().entry(name.clone()).or_default();
-            request.wanted += extra;
-        }
+            .filter_map(lender_of)
+            .collect()
     }
 
     /// Reduces requests by a surplus, but not below what is in use.
--- a/crates/buckthornturn/tests/gate.rs
+++ b/crates/buckthornturn/tests/gate.rs
@@ -380,3 +380,23 @@
     let (arrived_at, permit) = (now(), fleet.admit(0, 1).await.unwrap());
     assert_eq!((&*permit.target, now() - arrived_at), ("x0", Duration::ZERO));
 }
+
+/// The free slot of a target that has refused a request was counted as one for it, so that none was borrowed.
+#[tokio::test(start_paused = true)]
+async fn a_retry_borrows_a_slot_of_a_target_that_it_may_use() {
+    let fleet = GateFleet::start(FleetShape {
+        hosts: 2,
+        domains: 2,
+        targets: 2,
+        slots: 2,
+        ..UNLIMITED_FLEET
+    })
+    .await;
+    let first = fleet.admit(0, 0).await.unwrap();
+    let (target, arrived_at) = (first.target.clone(), now());
+    drop(first);
+    let retry = fleet.hosts[0].gate.admit(retry_elsewhere(0, &[&target])).await;
+    let waited = now() - arrived_at;
+    assert_ne!(retry.map(|permit| permit.target).ok(), None, "after {waited:?}");
+    assert!(waited < Duration::from_millis(500), "{waited:?}");
+}
