Entry hosts: a peer's refusal does not make a lost request "not run"

Callers of a repeatable route whose attempt was lost after it was sent got the refusal of the peer that the request went on to: 429 or 503 with `buckthornturn-outcome: not-run`, although the request may have run.

Cause: what was known of the attempts lay in a local variable of the retry loop and in the refusal, and the answer of a peer replaced both. An outcome may only get worse, so it is now kept with the request: `RunOutcome` records a lost attempt once and cannot forget it, and the only result that `serve` gets is the `SettledResult` that it has settled. The answer of a peer which ran the request is passed on as before.

Evidence: platform/outcomes.rs, real hosts.

--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -31,6 +31,7 @@
 mod reach_trial;
 mod request_facts;
 mod request_record;
+mod run_outcome;
 mod settings_watch;
 mod state_follower;
 mod store_contact;
--- a/crates/buckthornturn/src/entry/outgoing_request.rs
+++ b/crates/buckthornturn/src/entry/outgoing_request.rs
@@ -15,6 +15,7 @@
 use crate::callers::ReplayableUpload;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::RequestFacts;
+use crate::entry::run_outcome::RunOutcome;
 
 /// A checked request that is ready to be sent to targets.
 pub struct OutgoingRequest {
@@ -26,6 +27,8 @@
     pub upload: Arc<ReplayableUpload>,
     /// Whether another host forwarded the request to this one.
     pub is_forwarded: bool,
+    /// Whether the request may have run in an attempt without an answer.
+    pub(super) outcome: RunOutcome,
     dispatches: AtomicU64,
 }
 
@@ -39,7 +42,14 @@
         remove_hop_by_hop(&mut head.headers);
         head.extensions.clear();
         use_origin_form(&mut head, &facts.host);
-        Self { facts, head, upload, is_forwarded: false, dispatches: AtomicU64::new(0) }
+        Self {
+            facts,
+            head,
+            upload,
+            is_forwarded: false,
+            outcome: RunOutcome::default(),
+            dispatches: AtomicU64::new(0),
+        }
     }
 
     /// Number of times that the request was sent to a target, including an attempt that is still running.
--- a/crates/buckthornturn/src/entry/proxy_peers.rs
+++ b/crates/buckthornturn/src/entry/proxy_peers.rs
@@ -6,11 +6,11 @@
 use http::StatusCode;
 
 use crate::callers::Refusal;
-use crate::entry::ForwardResult;
 use crate::entry::OutgoingRequest;
 use crate::entry::ProxyService;
 use crate::entry::UNREACHABLE_REASON;
 use crate::entry::request_record::RequestRecord;
+use crate::entry::run_outcome::SettledResult;
 
 /// Longest wait for the configuration that a peer checked a forwarded request against.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
@@ -39,13 +39,13 @@
         &self,
         request: &OutgoingRequest,
         record: &mut RequestRecord,
-    ) -> Option<ForwardResult> {
+    ) -> Option<SettledResult> {
         if request.is_forwarded || !self.state.lock().reach.is_lost() {
             return None;
         }
         let (peer, result) = self.forwarder.forward(request).await?;
         record.peer = Some(peer);
-        Some(result)
+        Some(request.outcome.settle(result))
     }
 
     /// Refusal of a request that a peer forwarded if this host reaches no target either, or does not get the configuration
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -43,6 +43,7 @@
 use crate::entry::request_facts::requests_upgrade;
 use crate::entry::request_record::RequestRecord;
 use crate::entry::request_record::token_source;
+use crate::entry::run_outcome::SettledResult;
 use crate::entry::take_peer_position;
 use crate::interface::CallerDialect;
 
@@ -123,7 +124,7 @@
         let mut request = OutgoingRequest::new(facts, head, upload);
         request.is_forwarded = peer_position.is_some();
         let mut record = RequestRecord::new();
-        let result = self.admit_and_forward(&request, &mut record).await;
+        let result = self.admit_and_forward(&request, &mut record).await.into_result();
         self.log_request(&request, &record, &result);
         log_body_fault(&request);
         request.upload.discard_rest(DRAIN_TIMEOUT).await;
@@ -137,23 +138,25 @@
         &self,
         request: &OutgoingRequest,
         record: &mut RequestRecord,
-    ) -> Result<Response<AnswerBody>, Refusal> {
+    ) -> SettledResult {
         if let Some(result) = self.forward_to_peer(request, record).await {
             return result;
         }
-        self.admit(request, record).await?;
-        let result = self.forward(request, record).await;
-        match (&result, &request.facts.customer) {
-            (Err(refusal), Some(customer)) if refusal.not_run => {
+        if let Err(refusal) = self.admit(request, record).await {
+            return request.outcome.settle(Err(refusal));
+        }
+        let result = request.outcome.settle(self.forward(request, record).await);
+        match (result.refusal(), &request.facts.customer) {
+            (Some(refusal), Some(customer)) if refusal.not_run => {
                 self.state.lock().quotas.refund_token(customer, self.state.token_time());
             }
             _ => {}
         }
-        match result {
-            Err(refusal) if self.may_forward_after(request, record, &refusal) => {
-                self.forward_to_peer(request, record).await.unwrap_or(Err(refusal))
+        match result.refusal() {
+            Some(refusal) if self.may_forward_after(request, record, refusal) => {
+                self.forward_to_peer(request, record).await.unwrap_or(result)
             }
-            result => result,
+            _ => result,
         }
     }
 
@@ -228,28 +231,25 @@
         record: &mut RequestRecord,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut tried: Vec<TargetId> = Vec::new();
-        let mut unknown_outcome: Option<Refusal> = None;
         let mut upload = request.upload.take_whole().ok_or_else(|| body_refusal(request))?;
         loop {
-            let reason = match self.try_target(request, service, upload, &mut tried, record).await {
-                Err(refusal) => return Err(unknown_outcome.unwrap_or(refusal)),
-                Ok(AttemptResult::Answered(response)) => return Ok(response),
-                Ok(AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason)) => reason,
-                Ok(AttemptResult::OutcomeUnknown(status, reason)) => {
-                    unknown_outcome = Some(Refusal::unknown(status, reason));
+            let reason = match self.try_target(request, service, upload, &mut tried, record).await?
+            {
+                AttemptResult::Answered(response) => return Ok(response),
+                AttemptResult::NotSent(reason) | AttemptResult::NotRun(reason) => reason,
+                AttemptResult::OutcomeUnknown(status, reason) => {
+                    request.outcome.record_lost(status, reason);
                     reason
                 }
-                Ok(AttemptResult::Closed(fingerprint)) => {
-                    let unknown = Refusal::unknown(StatusCode::BAD_GATEWAY, TARGET_FAILED);
+                AttemptResult::Closed(fingerprint) => {
+                    let lost = request.outcome.record_lost(StatusCode::BAD_GATEWAY, TARGET_FAILED);
                     if !self.may_repeat_after_crash(fingerprint) {
-                        return Err(unknown);
+                        return Err(lost.clone());
                     }
-                    unknown_outcome = Some(unknown);
                     TARGET_FAILED
                 }
             };
-            upload =
-                self.body_for_retry(request, service, &tried, unknown_outcome.as_ref(), reason)?;
+            upload = self.body_for_retry(request, service, &tried, reason)?;
         }
     }
 
@@ -298,16 +298,14 @@
         request: &OutgoingRequest,
         service: &ServiceId,
         tried: &[TargetId],
-        unknown_outcome: Option<&Refusal>,
         reason: &'static str,
     ) -> Result<WholeUpload, Refusal> {
+        let lost = request.outcome.lost_refusal();
         let refusal = || {
             let pause = self.jittered_pause(RETRY_AFTER_BOUNDS.0);
-            unknown_outcome
-                .cloned()
-                .unwrap_or_else(|| unavailable_refusal(reason).retry_after(pause))
+            lost.cloned().unwrap_or_else(|| unavailable_refusal(reason).retry_after(pause))
         };
-        if unknown_outcome.is_some() && !request.facts.route.is_repeatable {
+        if lost.is_some() && !request.facts.route.is_repeatable {
             return Err(refusal());
         }
         let dispatches = request.dispatches();
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod lost_links;
+mod outcomes;
 mod pauses;
 mod raw_target;
 mod request_bytes;
