Entry hosts: a target's 503 or 429 without a statement promises nothing

Callers of requests that may run once got a target's own 503 or 429 as it was, although the target had run the request. PROTOCOL: these statuses are taken for the promise that the request has not run and will not; a target makes that statement by `X-Not-Executed` or 421, and "no other response states this".

Such an answer now counts as one whose outcome is unknown: 502. On repeatable routes, to which the promise does not matter, the target's answer goes on to its caller unchanged, as PROTOCOL says.

Evidence: platform/requests.rs, three new cases of which two failed before (429 and 503 instead of 502, each after one run).

--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -39,6 +39,7 @@
 use crate::entry::buffered_body::BufferedBody;
 use crate::entry::buffered_body::StreamedAttempt;
 use crate::entry::buffered_body::buffer_body;
+use crate::entry::run_outcome::promises_not_run;
 use crate::entry::set_peer_marks;
 use crate::interface::AnswerHeaders;
 use crate::interface::CallerDialect;
@@ -239,7 +240,8 @@
         if facts.is_wrong_target || facts.is_not_run {
             return self.finish_not_run(guard, key, connection, &facts, body).await;
         }
-        if let Some(reason) = invalid_answer_reason(&parts, &facts) {
+        let is_repeatable = request.facts.route.is_repeatable;
+        if let Some(reason) = invalid_answer_reason(&parts, &facts, is_repeatable) {
             guard.finish(AttemptEnd::Failed, facts.load);
             return AttemptResult::OutcomeUnknown(StatusCode::BAD_GATEWAY, reason);
         }
@@ -353,8 +355,14 @@
 }
 
 /// Reason why an answer cannot be the target's own complete answer; `None` if it can.
-fn invalid_answer_reason(parts: &response::Parts, facts: &AnswerHeaders) -> Option<&'static str> {
+fn invalid_answer_reason(
+    parts: &response::Parts,
+    facts: &AnswerHeaders,
+    is_repeatable: bool,
+) -> Option<&'static str> {
     match parts.status {
+        // Callers take these statuses for a promise, and would repeat a request that may have run.
+        status if promises_not_run(status) && !is_repeatable => Some("answer-unstated"),
         StatusCode::SWITCHING_PROTOCOLS => Some("answer-upgrades"),
         _ if parts.headers.contains_key(header::CONTENT_ENCODING) => Some("answer-encoded"),
         status if status.is_success() && !facts.is_signed => Some("answer-unsigned"),
--- a/crates/buckthornturn/tests/platform/requests.rs
+++ b/crates/buckthornturn/tests/platform/requests.rs
@@ -44,6 +44,9 @@
     an_unsigned_success_is_never_forwarded: CallerRequest::payment(), Unsigned on 1 of 1 => 502, ran 1;
     a_replaced_target_runs_nothing: CallerRequest::payment(), Replaced on 1 of 1 => 503, ran 0;
     an_error_answer_of_a_target_is_forwarded: CallerRequest::payment(), Fails on 1 of 1 => 500, ran 1;
+    a_payment_that_a_target_answers_with_503_without_a_statement_may_have_run: CallerRequest::payment(), Unavailable on 2 of 2 => 502, ran 1;
+    a_payment_that_a_target_answers_with_429_without_a_statement_may_have_run: CallerRequest::payment(), Throttles on 2 of 2 => 502, ran 1;
+    a_page_that_a_target_answers_with_503_keeps_its_status: CallerRequest::page(), Unavailable on 2 of 2 => 503, ran 1;
     a_silent_target_ends_with_the_timeout: CallerRequest::page(), Silent on 1 of 1 => 504, ran 0;
 }
 
--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -66,6 +66,10 @@
     Silent,
     /// Executes requests and answers with status 500.
     Fails,
+    /// Executes requests and answers with status 503, without the statement that it did not.
+    Unavailable,
+    /// Executes requests and answers with status 429, without the statement that it did not.
+    Throttles,
 }
 
 /// Request that a target has executed.
@@ -340,15 +344,16 @@
 /// Answer to a request that the target has run.
 fn answer_run(mode: TargetMode, attempt_id: &str) -> ServerResult {
     let signed = [("x-server-signature", "s"), ("x-server-load", "1,0,4")];
-    match mode {
-        TargetMode::LosesAnswers => Err(AnswerWithheld),
-        TargetMode::CrossesAnswers => Ok(build_answer(StatusCode::OK, "another", &signed)),
-        TargetMode::Unsigned => Ok(build_answer(StatusCode::OK, attempt_id, &[])),
-        TargetMode::Fails => {
-            Ok(build_answer(StatusCode::INTERNAL_SERVER_ERROR, attempt_id, &signed))
-        }
-        _ => Ok(build_answer(StatusCode::OK, attempt_id, &signed)),
-    }
+    let status = match mode {
+        TargetMode::LosesAnswers => return Err(AnswerWithheld),
+        TargetMode::CrossesAnswers => return Ok(build_answer(StatusCode::OK, "another", &signed)),
+        TargetMode::Unsigned => return Ok(build_answer(StatusCode::OK, attempt_id, &[])),
+        TargetMode::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+        TargetMode::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        TargetMode::Throttles => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::OK,
+    };
+    Ok(build_answer(status, attempt_id, &signed))
 }
 
 /// Crashes the target if the request is the one that it crashes under; the future is dropped with the server then.
