--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -288,19 +288,12 @@
         std::future::pending::<()>().await;
     }
     if mode == TargetMode::Replaced || *header_text(&headers, "x-target-instance") != *name {
-        return Ok(build_answer(
-            StatusCode::MISDIRECTED_REQUEST,
-            &attempt_id,
-            &[("x-instance-id", "other")],
-        ));
+        let refusal = [("x-instance-id", "other")];
+        return Ok(build_answer(StatusCode::MISDIRECTED_REQUEST, &attempt_id, &refusal));
     }
     if mode == TargetMode::Sheds {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Ok(build_answer(
-            status,
-            &attempt_id,
-            &[("x-not-executed", "1"), ("x-server-load", "4,9,4")],
-        ));
+        let refusal = [("x-not-executed", "1"), ("x-server-load", "4,9,4")];
+        return Ok(build_answer(StatusCode::SERVICE_UNAVAILABLE, &attempt_id, &refusal));
     }
     run(shared, &attempt_id, request).await?;
     let work = lock(shared).work;
