Mesh client: numbers of questions begin at random in each process

A host numbered its questions to other hosts from 0 in each process, so that a keeper's answer to the process before a restart could be taken for the answer to another question: a customer got tokens that were granted for another one. The number alone tells answers apart, and a restarted host has the mesh address of the one before.

The first number is random now, so that a late answer fits no question.

Evidence: an_answer_to_the_process_before_a_restart_is_dropped, two clients one after the other on one address. Before, the first question of both had number 0 and the second customer was given the 5 tokens of the first; now none.

--- a/crates/buckthornturn/src/entry/mesh_client.rs
+++ b/crates/buckthornturn/src/entry/mesh_client.rs
@@ -51,7 +51,9 @@
     /// Creates a client that sends through `socket`. The receiver of that socket must pass answers to
     /// [`receive_answer`](Self::receive_answer).
     pub fn new(socket: Arc<UdpSocket>) -> Self {
-        Self { socket, pending: Mutex::default(), next_number: AtomicU64::default() }
+        // The first number is random, since an answer to the process before a restart can still arrive.
+        let next_number = AtomicU64::new(rand::random());
+        Self { socket, pending: Mutex::default(), next_number }
     }
 
     /// Requests tokens from a customer's keeper. `None` means that no answer came in time or that too many requests are
@@ -124,3 +126,7 @@
         pending.swap_remove(&self.number);
     }
 }
+
+#[cfg(test)]
+#[path = "mesh_client_tests.rs"]
+mod tests;
