--- a/crates/buckthornturn/src/entry/proxy_peers.rs
+++ b/crates/buckthornturn/src/entry/proxy_peers.rs
@@ -7,7 +7,6 @@
 
 use crate::callers::AnswerBody;
 use crate::callers::Refusal;
-use crate::entry::ForwardResult;
 use crate::entry::OutgoingRequest;
 use crate::entry::ProxyService;
 use crate::entry::UNREACHABLE_REASON;
@@ -16,6 +15,7 @@
 use crate::entry::peer_forwarder::behind_refusal;
 use crate::entry::proxy_service::unavailable_refusal;
 use crate::entry::request_record::RequestRecord;
+use crate::entry::run_outcome::SettledResult;
 use crate::entry::set_peer_position;
 
 impl ProxyService {
@@ -42,13 +42,13 @@
         &self,
         request: &OutgoingRequest,
         record: &mut RequestRecord,
-    ) -> Option<ForwardResult> {
+    ) -> Option<SettledResult> {
         if request.is_forwarded || !self.state.lock().reach.is_lost() {
             return None;
         }
         let (peer, result) = self.forwarder.forward(request).await?;
         record.peer = Some(peer);
-        Some(result)
+        Some(request.outcome.settle(result))
     }
 
     /// Serves a request that a peer forwarded, unless this host reaches no target either or does not get the configuration in
--- a/crates/standin/src/platform/platform_target.rs
+++ b/crates/standin/src/platform/platform_target.rs
@@ -66,6 +66,10 @@
     Silent,
     /// Executes requests and answers with status 500.
     Fails,
+    /// Executes requests and answers with status 503, without the statement that it did not.
+    Unavailable,
+    /// Executes requests and answers with status 429, without the statement that it did not.
+    Throttles,
 }
 
 /// Request that a target has executed.
@@ -284,19 +288,12 @@
         std::future::pending::<()>().await;
     }
     if mode == TargetMode::Replaced || *header_text(&headers, "x-target-instance") != *name {
-        return Ok(build_answer(
-            StatusCode::MISDIRECTED_REQUEST,
-            &attempt_id,
-            &[("x-instance-id", "other")],
-        ));
+        let refusal = [("x-instance-id", "other")];
+        return Ok(build_answer(StatusCode::MISDIRECTED_REQUEST, &attempt_id, &refusal));
     }
     if mode == TargetMode::Sheds {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Ok(build_answer(
-            status,
-            &attempt_id,
-            &[("x-not-executed", "1"), ("x-server-load", "4,9,4")],
-        ));
+        let refusal = [("x-not-executed", "1"), ("x-server-load", "4,9,4")];
+        return Ok(build_answer(StatusCode::SERVICE_UNAVAILABLE, &attempt_id, &refusal));
     }
     run(shared, &attempt_id, request).await?;
     let work = lock(shared).work;
@@ -340,15 +337,16 @@
 /// Answer to a request that the target has run.
 fn answer_run(mode: TargetMode, attempt_id: &str) -> ServerResult {
     let signed = [("x-server-signature", "s"), ("x-server-load", "1,0,4")];
-    match mode {
-        TargetMode::LosesAnswers => Err(AnswerWithheld),
-        TargetMode::CrossesAnswers => Ok(build_answer(StatusCode::OK, "another", &signed)),
-        TargetMode::Unsigned => Ok(build_answer(StatusCode::OK, attempt_id, &[])),
-        TargetMode::Fails => {
-            Ok(build_answer(StatusCode::INTERNAL_SERVER_ERROR, attempt_id, &signed))
-        }
-        _ => Ok(build_answer(StatusCode::OK, attempt_id, &signed)),
-    }
+    let status = match mode {
+        TargetMode::LosesAnswers => return Err(AnswerWithheld),
+        TargetMode::CrossesAnswers => return Ok(build_answer(StatusCode::OK, "another", &signed)),
+        TargetMode::Unsigned => return Ok(build_answer(StatusCode::OK, attempt_id, &[])),
+        TargetMode::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+        TargetMode::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        TargetMode::Throttles => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::OK,
+    };
+    Ok(build_answer(status, attempt_id, &signed))
 }
 
 /// Crashes the target if the request is the one that it crashes under; the future is dropped with the server then.
