Tests: uploads at hosts that stop, and targets that answer and close or answer twice

- platform/upload_stops.rs: a host (alone, one that forwards, or the peer) ends in order, is cut at the time limit of its end, or is killed, each in a runtime of its own, while 12 uploads are under way.

--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -19,4 +19,5 @@
 mod state;
 mod troubled_days;
 mod upload_caller;
+mod upload_stops;
 mod uploads;
--- a/crates/buckthornturn/tests/platform/uploads.rs
+++ b/crates/buckthornturn/tests/platform/uploads.rs
@@ -37,6 +37,13 @@
 const REFUSES_AND_WAITS: AnswerStep = REFUSES.with_pause(Duration::from_millis(60));
 const SUCCEEDS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Success);
 const FAILS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Failure);
+const REFUSES_AND_CLOSES: AnswerStep = REFUSES.then_closing();
+const REFUSES_LATE_AND_CLOSES: AnswerStep = REFUSES_LATE.then_closing();
+const SUCCEEDS_AND_CLOSES: AnswerStep = SUCCEEDS.then_closing();
+const FAILS_AND_CLOSES: AnswerStep = FAILS.then_closing();
+const REFUSES_TWICE: AnswerStep = REFUSES.sent_twice();
+const SUCCEEDS_TWICE: AnswerStep = SUCCEEDS.sent_twice();
+const RUNS_TWICE: AnswerStep = RUNS.sent_twice();
 const CLOSES: AnswerStep = AnswerStep::new(AnswerPoint::End, AnswerKind::Closed);
 const RUNS: AnswerStep = AnswerStep::RUN;
 
@@ -78,6 +85,20 @@
     a_page_is_not_read_as_the_rest_of_a_body_that_succeeds_early_at_the_second_target: 90_000 in Length, [REFUSES, SUCCEEDS], dialed after 120 ms;
     a_page_is_not_read_as_the_rest_of_a_body_that_fails_early: 360_000 in Length, [FAILS], dialed after 0 ms;
     a_page_is_not_read_as_the_rest_of_a_body_that_fails_early_at_the_second_target: 90_000 in Length, [REFUSES, FAILS], dialed after 120 ms;
+    a_body_whose_target_refuses_and_closes_keeps_its_start: 200_000 in Length, [REFUSES_AND_CLOSES, RUNS], dialed after 30 ms;
+    a_chunked_body_whose_target_refuses_and_closes_keeps_its_start: 200_000 in Chunks, [REFUSES_AND_CLOSES, RUNS], dialed after 30 ms;
+    a_chunked_body_whose_target_refuses_in_its_middle_and_closes_keeps_its_start:
+        200_000 in Chunks, [REFUSES_LATE_AND_CLOSES, REFUSES_AND_CLOSES, RUNS], dialed after 30 ms;
+    a_body_whose_target_succeeds_and_closes_leaves_pages_alone: 360_000 in Length, [SUCCEEDS_AND_CLOSES], dialed after 0 ms;
+    a_chunked_body_whose_second_target_succeeds_and_closes_leaves_pages_alone:
+        90_000 in Chunks, [REFUSES_AND_CLOSES, SUCCEEDS_AND_CLOSES], dialed after 120 ms;
+    a_body_whose_target_fails_and_closes_leaves_pages_alone: 360_000 in Length, [FAILS_AND_CLOSES], dialed after 0 ms;
+    a_body_that_is_refused_with_two_answers_keeps_its_start: 200_000 in Length, [REFUSES_TWICE, RUNS], dialed after 30 ms;
+    a_chunked_body_that_is_refused_with_two_answers_keeps_its_start: 200_000 in Chunks, [REFUSES_TWICE, RUNS], dialed after 30 ms;
+    an_empty_body_that_is_refused_with_two_answers_leaves_pages_alone: 0 in Length, [REFUSES_TWICE, RUNS], dialed after 0 ms;
+    a_body_that_succeeds_early_with_two_answers_leaves_pages_alone: 360_000 in Length, [SUCCEEDS_TWICE], dialed after 0 ms;
+    a_chunked_body_that_succeeds_early_with_two_answers_leaves_pages_alone: 90_000 in Chunks, [REFUSES, SUCCEEDS_TWICE], dialed after 30 ms;
+    a_body_that_runs_with_two_answers_leaves_pages_alone: 20_000 in Length, [RUNS_TWICE], dialed after 0 ms;
 }
 
 macro_rules! huge_uploads {
@@ -139,15 +160,19 @@
 }
 
 /// A fleet whose targets answer early, and what they got.
-struct UploadFleet {
-    fleet: EntryFleet,
-    ledger: BodyLedger,
+pub struct UploadFleet {
+    pub fleet: EntryFleet,
+    pub ledger: BodyLedger,
     _targets: Vec<EarlyTarget>,
 }
 
 impl UploadFleet {
     async fn start(hosts: usize, steps: &[AnswerStep]) -> Self {
-        let fleet = EntryFleet::start(hosts, 0).await;
+        Self::with_targets(EntryFleet::start(hosts, 0).await, steps).await
+    }
+
+    /// Adds targets to a fleet of ready hosts, and waits until all hosts serve uploads.
+    pub async fn with_targets(fleet: EntryFleet, steps: &[AnswerStep]) -> Self {
         let ledger = BodyLedger::default();
         let mut targets = Vec::new();
         for number in 0..TARGETS {
@@ -161,7 +186,7 @@
         }
         fleet.store.put("config", "main", upload_configuration());
         let fleet = Self { fleet, ledger, _targets: targets };
-        for host in 0..hosts {
+        for host in 0..fleet.fleet.hosts.len() {
             let serves = async || {
                 let answer = UploadCall::new(0, UploadFraming::Length);
                 let answer = answer.send(fleet.fleet.ports[host].callers, &fleet.ledger).await;
@@ -199,7 +224,7 @@
     }
 
     /// Sends a page; `None` unless the answer is that of a target to this very attempt.
-    async fn send_page(&self, host: usize) -> Option<()> {
+    pub async fn send_page(&self, host: usize) -> Option<()> {
         let page = CallerRequest::page();
         let attempt = page.headers.iter().find(|header| header.0 == "x-attempt-id")?.1.clone();
         let page = page.with_header("x-affinity-key", &attempt);
@@ -216,7 +241,7 @@
     }
 
     /// Waits until each body is complete or its connection has ended, and checks all that targets got.
-    async fn check(&self) {
+    pub async fn check(&self) {
         let settled = async {
             while !self.ledger.is_settled() {
                 tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/standin/src/platform/early_target.rs
+++ b/crates/standin/src/platform/early_target.rs
@@ -55,6 +55,10 @@
     pub pause: Duration,
     /// Time by which new connections are delayed after the answer.
     pub dial_delay: Duration,
+    /// Number of times that the answer is sent.
+    pub copies: usize,
+    /// Whether the connection is closed right after the answer.
+    pub closes: bool,
 }
 
 /// Running target; dropping it stops the server.
@@ -94,7 +98,8 @@
 
     /// Answers at a point, and reads on at once.
     pub const fn new(point: AnswerPoint, kind: AnswerKind) -> Self {
-        Self { point, kind, pause: Duration::ZERO, dial_delay: Duration::ZERO }
+        let (pause, dial_delay) = (Duration::ZERO, Duration::ZERO);
+        Self { point, kind, pause, dial_delay, copies: 1, closes: false }
     }
 
     /// Reads on after a pause.
@@ -102,6 +107,16 @@
         Self { pause, ..self }
     }
 
+    /// Sends the answer twice.
+    pub const fn sent_twice(self) -> Self {
+        Self { copies: 2, ..self }
+    }
+
+    /// Closes the connection right after the answer, whatever of the request is still to come.
+    pub const fn then_closing(self) -> Self {
+        Self { closes: true, ..self }
+    }
+
     /// Delays new connections from the answer on.
     pub const fn with_dial_delay(self, dial_delay: Duration) -> Self {
         Self { dial_delay, ..self }
@@ -251,7 +266,12 @@
         if &*head.method != "GET" {
             self.links.set_dial_delay(step.dial_delay);
         }
-        write_answer(writer, head, is_named, step.kind).await
+        for _ in 0..step.copies {
+            if !write_answer(writer, head, is_named, step.kind).await {
+                return false;
+            }
+        }
+        !step.closes
     }
 }
 
