Uploads: a long answer no longer ends the upload that it answers

Cause: once an answer was there, the host drained what the caller still sent, and so took the body from the target's connection, which then failed with the answer on it. An answer in the host's memory is not harmed by that; one that is still read from that connection is.

An answer that is passed on as it comes now holds a `SendingLease` with its connection: while it exists the body belongs to that connection, and the rest is drained when it ends. Answers by way of a peer hold one as well. The caller also gets the start of such an answer without waiting for the drain.

--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -17,6 +19,7 @@
 
 use crate::callers::BodyFault;
 use crate::callers::CallerBody;
+use crate::callers::SendingLease;
 use crate::callers::WholeUpload;
 use crate::callers::upload_state::BufferRule;
 use crate::callers::upload_state::UploadProgress;
@@ -31,6 +34,7 @@
     max_bytes: u64,
     max_pause: Duration,
     finished: Notify,
+    is_leased: AtomicBool,
 }
 
 impl ReplayableUpload {
@@ -51,6 +55,7 @@
             max_bytes,
             max_pause,
             finished: Notify::new(),
+            is_leased: AtomicBool::new(false),
         })
     }
 
@@ -63,9 +68,22 @@
         Some(WholeUpload::new(Arc::clone(self), reader))
     }
 
+    /// Lets the connection that reads the body go on while its answer is passed on.
+    pub fn lease(self: &Arc<Self>) -> SendingLease {
+        self.is_leased.store(true, Ordering::Relaxed);
+        SendingLease::new(Arc::clone(self))
+    }
+
+    pub(super) fn end_lease(&self) {
+        self.is_leased.store(false, Ordering::Relaxed);
+    }
+
     /// Reads what the caller still sends and drops it, for at most `timeout`. A connection that has yet to send a body that
-    /// was received to its end goes on; otherwise no connection reads the body any more.
+    /// was received to its end goes on, and so does one with a lease; otherwise no connection reads the body any more.
     pub async fn discard_rest(&self, timeout: Duration) {
+        if self.is_leased.load(Ordering::Relaxed) {
+            return;
+        }
         let Some(reader) = self.lock().take_unfinished() else { return };
         let rest = std::future::poll_fn(|context| {
             loop {
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -240,8 +240,7 @@
         if facts.is_wrong_target || facts.is_not_run {
             return self.finish_not_run(guard, key, connection, &facts, body).await;
         }
-        let is_repeatable = request.facts.route.is_repeatable;
-        if let Some(reason) = invalid_answer_reason(&parts, &facts, is_repeatable) {
+        if let Some(reason) = invalid_answer_reason(request, &parts, &facts) {
             guard.finish(AttemptEnd::Failed, facts.load);
             return AttemptResult::OutcomeUnknown(StatusCode::BAD_GATEWAY, reason);
         }
@@ -311,7 +310,8 @@
             Ok(BufferedBody::Streamed(stream)) => {
                 let end = request.facts.arrived_at + request.facts.caller_timeout;
                 let attempt = StreamedAttempt { guard, status: parts.status, load: facts.load };
-                let body = stream.with_connection(connection).with_attempt(attempt, end);
+                let body = stream.with_connection(connection, request.upload.lease());
+                let body = body.with_attempt(attempt, end);
                 let body = body.boxed_unsync();
                 AttemptResult::Answered(Response::from_parts(parts, body))
             }
@@ -356,10 +356,11 @@
 
 /// Reason why an answer cannot be the target's own complete answer; `None` if it can.
 fn invalid_answer_reason(
+    request: &OutgoingRequest,
     parts: &response::Parts,
     facts: &AnswerHeaders,
-    is_repeatable: bool,
 ) -> Option<&'static str> {
+    let is_repeatable = request.facts.route.is_repeatable;
     match parts.status {
         // Callers take these statuses for a promise, and would repeat a request that may have run.
         status if promises_not_run(status) && !is_repeatable => Some("answer-unstated"),
--- a/crates/buckthornturn/src/entry/buffered_body.rs
+++ b/crates/buckthornturn/src/entry/buffered_body.rs
@@ -19,6 +19,7 @@
 
 use crate::callers::BodyFault;
 use crate::callers::Busy;
+use crate::callers::SendingLease;
 use crate::callers::TargetConnection;
 use crate::entry::AttemptGuard;
 
@@ -38,7 +39,7 @@
     start: Option<Bytes>,
     rest: Incoming,
     size: SizeHint,
-    connection: Option<TargetConnection<Busy>>,
+    sending: Option<(TargetConnection<Busy>, SendingLease)>,
     attempt: Option<StreamedAttempt>,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -67,8 +68,8 @@
         }
         if buffered.len() > MAX_BUFFERED_BYTES {
             let start = Some(buffered.freeze());
-            let (connection, attempt, timer) = (None, None, None);
-            let body = StreamedBody { start, rest: body, size, connection, attempt, timer };
+            let (sending, attempt, timer) = (None, None, None);
+            let body = StreamedBody { start, rest: body, size, sending, attempt, timer };
             return Ok(BufferedBody::Streamed(Box::new(body)));
         }
     }
@@ -76,9 +77,9 @@
 }
 
 impl StreamedBody {
-    /// Hands over the target's connection, which is kept open until the body ends.
-    pub fn with_connection(self, connection: TargetConnection<Busy>) -> Self {
-        Self { connection: Some(connection), ..self }
+    /// Hands over the target's connection, which is kept open until the body ends, and its right to send the request's body.
+    pub fn with_connection(self, connection: TargetConnection<Busy>, lease: SendingLease) -> Self {
+        Self { sending: Some((connection, lease)), ..self }
     }
 
     /// Hands over the attempt, which ends with the body, at the latest when the caller no longer waits: a target may send
@@ -89,14 +90,14 @@
     }
 
     fn finish_complete(&mut self) {
-        self.connection = None;
+        self.sending = None;
         if let Some(mut attempt) = self.attempt.take() {
             attempt.guard.finish_answered(attempt.status, attempt.load);
         }
     }
 
     fn finish_failed(&mut self) {
-        self.connection = None;
+        self.sending = None;
         if let Some(mut attempt) = self.attempt.take() {
             attempt.guard.finish(AttemptEnd::Failed, attempt.load);
         }
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -142,7 +142,7 @@
         let failed = || Refusal::unknown(StatusCode::BAD_GATEWAY, "peer-failed");
         match tokio::time::timeout_at(deadline, connection.send(http_request)).await {
             Ok(Ok((response, connection))) => {
-                let answer = self.receive(key, response, connection);
+                let answer = self.receive(request, key, response, connection);
                 let answer = tokio::time::timeout_at(deadline, answer).await;
                 Some(answer.unwrap_or(None).ok_or_else(failed))
             }
@@ -162,6 +162,7 @@
     /// Reads an answer, and keeps its connection for further requests; `None` if the answer is cut.
     async fn receive(
         &self,
+        request: &OutgoingRequest,
         key: PoolKey,
         response: Response<Incoming>,
         connection: TargetConnection<Busy>,
@@ -177,7 +178,8 @@
                 Some(Response::from_parts(parts, full_body(bytes)))
             }
             BufferedBody::Streamed(stream) => {
-                let body = stream.with_connection(connection).boxed_unsync();
+                let body =
+                    stream.with_connection(connection, request.upload.lease()).boxed_unsync();
                 Some(Response::from_parts(parts, body))
             }
         }
--- a/crates/buckthornturn/tests/platform/upload_caller.rs
+++ b/crates/buckthornturn/tests/platform/upload_caller.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Sends the request to a host and returns the status of the answer; `None` if none came.
+    /// Sends the request to a host and returns the status of the answer; `None` if no complete one came.
     pub async fn send(self, host: SocketAddr, ledger: &BodyLedger) -> Option<u16> {
         let number = rand::random::<u64>();
         let attempt = format!("{number:016x}");
@@ -71,7 +71,7 @@
             () = write => return None,
             _ = tokio::time::timeout(ANSWER_TIME, reader.read_to_end(&mut answer)) => {}
         }
-        String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
+        parse_answer(&answer)
     }
 
     async fn write(
@@ -110,6 +110,15 @@
     }
 }
 
+/// Status of a complete answer with a length.
+fn parse_answer(answer: &[u8]) -> Option<u16> {
+    let answer = String::from_utf8_lossy(answer);
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+    let is_complete = length.parse() == Ok(body.len());
+    head.split(' ').nth(1)?.parse().ok().filter(|_| is_complete)
+}
+
 /// A body each of whose places differs from all others, and from those of other bodies.
 fn distinct_body(seed: u64, bytes: usize) -> Bytes {
     let words = (0..bytes.div_ceil(16) as u64).flat_map(|number| {
--- a/crates/buckthornturn/tests/platform/upload_stops.rs
+++ b/crates/buckthornturn/tests/platform/upload_stops.rs
@@ -90,10 +90,9 @@
     }
 }
 
-/// Uploads to host 0, which forwards them to the second host if there is one.
-async fn check_stop(stop: HostStop, stopped: usize, hosts: usize, framing: UploadFraming) {
+/// Starts hosts, one of them on a thread of its own. The first one forwards to the second one if there is one.
+async fn start_fleet(hosts: usize, stopped: usize, thread: &HostThread) -> UploadFleet {
     let mut fleet = EntryFleet::start(0, 0).await;
-    let thread = HostThread::start();
     for host in 0..hosts {
         let store = fleet.store.address();
         let starts = fleet.start_host(host, store);
@@ -103,7 +102,7 @@
         }
         fleet.wait_until("the host is ready", async || fleet.is_ready(host).await).await;
     }
-    let mut fleet = UploadFleet::with_targets(fleet, &[AnswerStep::RUN]).await;
+    let fleet = UploadFleet::with_targets(fleet, &[AnswerStep::RUN]).await;
     if hosts > 1 {
         fleet.fleet.cut_host(0, LinkCut::Resetting);
         fleet
@@ -111,6 +110,13 @@
             .wait_until("the host forwards", async || fleet.send_page(0).await.is_some())
             .await;
     }
+    fleet
+}
+
+/// Uploads to host 0 while a host stops.
+async fn check_stop(stop: HostStop, stopped: usize, hosts: usize, framing: UploadFraming) {
+    let thread = HostThread::start();
+    let mut fleet = start_fleet(hosts, stopped, &thread).await;
     let before = fleet.ledger.arrivals().len();
     let bytes = if stop == HostStop::Overrun { 140_000 } else { 30_000 };
     let call = UploadCall {
--- a/crates/buckthornturn/tests/platform/uploads.rs
+++ b/crates/buckthornturn/tests/platform/uploads.rs
@@ -32,11 +32,11 @@
 /// Time within which each body is complete or its connection has ended.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
 
-const REFUSES: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Refusal);
+pub const REFUSES: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Refusal);
 const REFUSES_LATE: AnswerStep = AnswerStep::new(AnswerPoint::Bytes(30_000), AnswerKind::Refusal);
 const REFUSES_AND_WAITS: AnswerStep = REFUSES.with_pause(Duration::from_millis(60));
-const SUCCEEDS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Success);
-const FAILS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Failure);
+pub const SUCCEEDS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Success);
+pub const FAILS: AnswerStep = AnswerStep::new(AnswerPoint::Head, AnswerKind::Failure);
 const REFUSES_AND_CLOSES: AnswerStep = REFUSES.then_closing();
 const REFUSES_LATE_AND_CLOSES: AnswerStep = REFUSES_LATE.then_closing();
 const SUCCEEDS_AND_CLOSES: AnswerStep = SUCCEEDS.then_closing();
@@ -167,7 +167,7 @@
 }
 
 impl UploadFleet {
-    async fn start(hosts: usize, steps: &[AnswerStep]) -> Self {
+    pub async fn start(hosts: usize, steps: &[AnswerStep]) -> Self {
         Self::with_targets(EntryFleet::start(hosts, 0).await, steps).await
     }
 
@@ -198,7 +198,7 @@
     }
 
     /// Sends rounds of uploads to a host, with pages beside and after them. Returns the statuses of the uploads.
-    async fn send_rounds(&self, host: usize, call: UploadCall) -> Vec<Option<u16>> {
+    pub async fn send_rounds(&self, host: usize, call: UploadCall) -> Vec<Option<u16>> {
         let address = self.fleet.ports[host].callers;
         let mut statuses = Vec::new();
         for _ in 0..ROUNDS {
@@ -261,7 +261,7 @@
 }
 
 /// Uploads whose targets take the steps one after the other; new connections are late after a refusal.
-async fn check_uploads(call: UploadCall, steps: &[AnswerStep], dial_delay: Duration) {
+pub async fn check_uploads(call: UploadCall, steps: &[AnswerStep], dial_delay: Duration) {
     let steps: Vec<_> = steps
         .iter()
         .map(|step| match step.kind {
--- a/crates/standin/src/platform/early_target.rs
+++ b/crates/standin/src/platform/early_target.rs
@@ -55,6 +55,8 @@
     pub pause: Duration,
     /// Time by which new connections are delayed after the answer.
     pub dial_delay: Duration,
+    /// Length to which the body of the answer is filled up, in bytes.
+    pub body_bytes: usize,
     /// Number of times that the answer is sent.
     pub copies: usize,
     /// Whether the connection is closed right after the answer.
@@ -99,7 +101,7 @@
     /// Answers at a point, and reads on at once.
     pub const fn new(point: AnswerPoint, kind: AnswerKind) -> Self {
         let (pause, dial_delay) = (Duration::ZERO, Duration::ZERO);
-        Self { point, kind, pause, dial_delay, copies: 1, closes: false }
+        Self { point, kind, pause, dial_delay, body_bytes: 0, copies: 1, closes: false }
     }
 
     /// Reads on after a pause.
@@ -107,6 +109,11 @@
         Self { pause, ..self }
     }
 
+    /// Fills the body of the answer up to a length.
+    pub const fn with_body(self, body_bytes: usize) -> Self {
+        Self { body_bytes, ..self }
+    }
+
     /// Sends the answer twice.
     pub const fn sent_twice(self) -> Self {
         Self { copies: 2, ..self }
@@ -267,7 +274,7 @@
             self.links.set_dial_delay(step.dial_delay);
         }
         for _ in 0..step.copies {
-            if !write_answer(writer, head, is_named, step.kind).await {
+            if !write_answer(writer, head, is_named, step).await {
                 return false;
             }
         }
@@ -280,9 +287,9 @@
     writer: &mut (impl AsyncWriteExt + Unpin),
     head: &HeadFields,
     is_named: bool,
-    kind: AnswerKind,
+    step: AnswerStep,
 ) -> bool {
-    let (status, line) = match kind {
+    let (status, line) = match step.kind {
         _ if !is_named => ("421 Misdirected Request", "x-not-executed: 1"),
         AnswerKind::Refusal => ("503 Service Unavailable", "x-not-executed: 1"),
         AnswerKind::Success => ("200 OK", "x-server-signature: s"),
@@ -290,6 +297,7 @@
         AnswerKind::Closed => return false,
     };
     let body = format!("answer to {}", head.attempt_id);
+    let body = format!("{body}{}", ".".repeat(step.body_bytes.saturating_sub(body.len())));
     let answer = format!(
         "HTTP/1.1 {status}\r\nx-attempt-id: {}\r\nx-server-load: 1,0,16\r\n{line}\r\ncontent-length: {}\r\n\r\n{body}",
         head.attempt_id,
