--- a/crates/buckthornturn/src/callers/answer_stream.rs
+++ b/crates/buckthornturn/src/callers/answer_stream.rs
@@ -11,6 +11,7 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio_util::sync::WaitForCancellationFutureOwned;
@@ -18,6 +19,7 @@
 use crate::callers::ActiveGuard;
 use crate::callers::BodyFault;
 use crate::callers::Busy;
+use crate::callers::Idle;
 use crate::callers::PoolKey;
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetConnection;
@@ -43,7 +45,7 @@
 }
 
 /// Body of an answer. It holds the slot and the connection until the answer is complete. Dropping it earlier closes
-/// the connection, which tells the target to stop.
+/// the connection, which tells the target to stop. If the answer is complete before the request, the rest is still sent.
 pub struct AnswerStream {
     source: Incoming,
     resources: Option<AnswerResources>,
@@ -51,6 +53,28 @@
     idle_timer: Pin<Box<Sleep>>,
 }
 
+impl AnswerResources {
+    /// Sends the rest of a body to a target that has answered before its end, until the permission is withdrawn.
+    async fn finish_request(self) {
+        let revocation = self.active.token().clone();
+        tokio::select! {
+            connection = self.connection.finish_request() => {
+                return_connection(self.return_to, connection);
+            }
+            () = revocation.cancelled() => {}
+        }
+    }
+}
+
+fn return_connection(
+    return_to: Option<(TargetPool, PoolKey)>,
+    connection: Option<TargetConnection<Idle>>,
+) {
+    if let (Some((pool, key)), Some(connection)) = (return_to, connection) {
+        pool.return_connection(key, connection, None);
+    }
+}
+
 impl AnswerStream {
     /// Wraps the body `source`; `resources` are released when it ends.
     pub fn new(source: Incoming, resources: AnswerResources) -> Self {
@@ -65,10 +89,11 @@
             stage.record_transfer(resources.upload.received_bytes());
             stage.complete();
         }
-        if let (Some((pool, key)), Some(connection)) =
-            (resources.return_to, resources.connection.release())
-        {
-            pool.return_connection(key, connection, None);
+        match Handle::try_current() {
+            Ok(runtime) if !resources.connection.has_sent_request() => {
+                runtime.spawn(resources.finish_request());
+            }
+            _ => return_connection(resources.return_to, resources.connection.release()),
         }
     }
 
--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -170,6 +170,13 @@
         self.state.transfer.is_complete()
     }
 
+    /// Sends the rest of the request, whose answer was read to its end. `None` closes the connection: the body ended early,
+    /// or the target takes no more of it.
+    pub async fn finish_request(self) -> Option<TargetConnection<Idle>> {
+        self.state.transfer.wait_until_ended().await;
+        self.release()
+    }
+
     /// Returns the connection for another request once the answer was read to its end. `None` closes it: the target still
     /// expects some of the request, and would read the next one as that.
     pub fn release(self) -> Option<TargetConnection<Idle>> {
--- a/crates/buckthornturn/src/callers/upload_body.rs
+++ b/crates/buckthornturn/src/callers/upload_body.rs
@@ -11,6 +11,7 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use tokio::sync::Notify;
 use tokio::time::Sleep;
 
 use crate::callers::BodyFault;
@@ -27,6 +28,16 @@
 #[derive(Debug, Default)]
 pub struct TransferRecord {
     is_complete: AtomicBool,
+    ended: Notify,
+}
+
+/// Tells when a connection takes no more of a body, also if it was closed.
+struct TransferGuard(Arc<TransferRecord>);
+
+impl Drop for TransferGuard {
+    fn drop(&mut self) {
+        self.0.ended.notify_one();
+    }
 }
 
 /// Request body as one connection reads it: first the buffered parts, then the rest from the caller.
@@ -35,7 +46,7 @@
     reader: u32,
     replayed_parts: usize,
     sent_bytes: u64,
-    transfer: Arc<TransferRecord>,
+    transfer: TransferGuard,
     idle_timer: Pin<Box<Sleep>>,
 }
 
@@ -80,7 +91,7 @@
             reader: self.reader,
             replayed_parts: 0,
             sent_bytes: 0,
-            transfer: Arc::clone(&transfer),
+            transfer: TransferGuard(Arc::clone(&transfer)),
         };
         (body, transfer)
     }
@@ -91,6 +102,13 @@
     pub fn is_complete(&self) -> bool {
         self.is_complete.load(Ordering::Relaxed)
     }
+
+    /// Waits until the connection takes no more of the body; for a single waiter.
+    pub(super) async fn wait_until_ended(&self) {
+        if !self.is_complete() {
+            self.ended.notified().await;
+        }
+    }
 }
 
 impl UploadBody {
@@ -112,7 +130,8 @@
     }
 
     fn record_end(&self) {
-        self.transfer.is_complete.store(true, Ordering::Relaxed);
+        self.transfer.0.is_complete.store(true, Ordering::Relaxed);
+        self.transfer.0.ended.notify_one();
     }
 }
 
--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -41,6 +41,10 @@
     EchoSlowly(Duration),
     /// Answers with the path before it has read the body.
     AnswerEarly,
+    /// Answers with the path as soon as it has the head, and reads the body afterwards.
+    EchoEarly,
+    /// Sends half of an answer of so many bytes as soon as it has the head, and the rest once it has read the body.
+    AnswerAroundBody(usize),
 }
 
 /// A target on a loopback address; it stops when dropped, and panics then if it has read another request than a caller sent.
@@ -100,6 +104,11 @@
         self.shared.received_requests.lock().unwrap().clone()
     }
 
+    /// Number of bytes of all requests that were received to their ends, and of the heads of the others.
+    pub fn received_bytes(&self) -> usize {
+        self.shared.received_requests.lock().unwrap().iter().map(String::len).sum()
+    }
+
     /// Number of connections that are open now.
     pub fn open_connections(&self) -> usize {
         self.shared.open_connections.load(Ordering::SeqCst)
@@ -132,8 +141,16 @@
         let number = shared.received_requests.lock().unwrap().len();
         let step = shared.steps[number.min(shared.steps.len() - 1)];
         let shed = "HTTP/1.1 503 X\r\ntarget-shed: 1\r\ncontent-length: 0\r\n\r\n";
-        if let TargetStep::ShedEarly = step {
-            stream.write_all(shed.as_bytes()).await.ok()?;
+        let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
+        match step {
+            TargetStep::ShedEarly => stream.write_all(shed.as_bytes()).await.ok()?,
+            TargetStep::EchoEarly => stream.write_all(echo.as_bytes()).await.ok()?,
+            TargetStep::AnswerAroundBody(bytes) => {
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
+                stream.write_all(head.as_bytes()).await.ok()?;
+                stream.write_all(&vec![b'a'; bytes / 2]).await.ok()?;
+            }
+            _ => {}
         }
         let body = match step {
             TargetStep::AnswerEarly => String::new(),
@@ -145,9 +162,11 @@
                 body
             }
         };
-        let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
         match step {
-            TargetStep::ShedEarly => {}
+            TargetStep::ShedEarly | TargetStep::EchoEarly => {}
+            TargetStep::AnswerAroundBody(bytes) => {
+                stream.write_all(&vec![b'z'; bytes - bytes / 2]).await.ok()?;
+            }
             TargetStep::EchoPath => stream.write_all(echo.as_bytes()).await.ok()?,
             TargetStep::EchoTwice(pause) => {
                 stream.write_all(echo.as_bytes()).await.ok()?;
