--- a/crates/buckthornturn/tests/graceful_end.rs
+++ b/crates/buckthornturn/tests/graceful_end.rs
@@ -30,6 +30,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// Hosts that are stopped within an upload, one after another.
+const STOPS: usize = 20;
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(9);
 /// Longer than the part of the limit in which the host still accepts connections.
 const SLOW_STEP: TargetStep = TargetStep::EchoSlowly(Duration::from_millis(4_000));
@@ -135,6 +137,59 @@
     assert!(host.shut_down(Duration::from_secs(3)).await);
 }
 
+/// A host stops within a chunked body; the HTTP library ends what was received of it like a whole one.
+async fn check_stop_within_upload(headers: &[&str]) {
+    let target = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
+    for number in 1..=STOPS {
+        let host = TestHost::start(&[target.address]).await;
+        let chunked = ["transfer-encoding: chunked"];
+        let headers: Vec<&str> = headers.iter().chain(&chunked).copied().collect();
+        let head = request(&format!("POST /pay/{number}"), &headers, "");
+        let mut stream = TcpStream::connect(host.address).await.unwrap();
+        stream.write_all(format!("{head}4\r\nhalf\r\n").as_bytes()).await.unwrap();
+        wait_until("the head arrives", || target.received_requests().len() == number).await;
+        assert!(!host.shut_down(Duration::from_millis(30)).await);
+    }
+    wait_until("the connections are closed", || target.open_connections() == 0).await;
+    let received = target.received_requests();
+    let complete = received.iter().filter(|text| text.ends_with("0\r\n\r\n")).count();
+    assert_eq!(complete, 0, "of {STOPS}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_upload_is_never_complete_when_its_host_stops() {
+    check_stop_within_upload(&[]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_upload_with_an_idempotency_key_is_never_complete_when_its_host_stops() {
+    check_stop_within_upload(&["idempotency-key: k"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_http2_upload_is_never_complete_when_its_host_stops() {
+    let target = ScriptedTarget::start(&[TargetStep::EchoPath]).await;
+    for number in 1..=STOPS {
+        let host = TestHost::start(&[target.address]).await;
+        let stream = TcpStream::connect(host.address).await.unwrap();
+        let (sender, connection) = h2::client::handshake(stream).await.unwrap();
+        tokio::spawn(connection);
+        let request = Request::post(format!("http://s.example/pay/{number}"))
+            .header("authorization", format!("Bearer {KEY_AURORA}"))
+            .header("idempotency-key", "k");
+        let mut sender = sender.ready().await.unwrap();
+        let request = request.body(()).unwrap();
+        let (_answer, mut body) = sender.send_request(request, false).unwrap();
+        body.send_data(Bytes::from_static(b"half"), false).unwrap();
+        wait_until("the head arrives", || target.received_requests().len() == number).await;
+        assert!(!host.shut_down(Duration::from_millis(30)).await);
+    }
+    wait_until("the connections are closed", || target.open_connections() == 0).await;
+    let received = target.received_requests();
+    let complete = received.iter().filter(|text| text.ends_with("0\r\n\r\n")).count();
+    assert_eq!(complete, 0, "of {STOPS}");
+}
+
 #[tokio::test]
 async fn stream_longer_than_the_limit_is_aborted_and_reported() {
     let target = ScriptedTarget::start(&[TargetStep::SendEndlessBody]).await;
