--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -170,11 +170,14 @@
         self.state.transfer.is_complete()
     }
 
-    /// Sends the rest of the request, whose answer was read to its end. `None` closes the connection: the body ended early,
+    /// Writes the rest of the request, whose answer was read to its end. `None` closes the connection: the body ended early,
     /// or the target takes no more of it.
-    pub async fn finish_request(self) -> Option<TargetConnection<Idle>> {
+    pub async fn finish_request(mut self) -> Option<TargetConnection<Idle>> {
         self.state.transfer.wait_until_ended().await;
-        self.release()
+        match self.sender.ready().await {
+            Ok(()) => self.release(),
+            Err(_) => None,
+        }
     }
 
     /// Returns the connection for another request once the answer was read to its end. `None` closes it: the target still
