--- a/crates/buckthornturn/src/callers/replayable_upload.rs
+++ b/crates/buckthornturn/src/callers/replayable_upload.rs
@@ -63,6 +63,12 @@
         Some(WholeUpload::new(Arc::clone(self), reader))
     }
 
+    /// Gives up the buffered start: the body is not sent again, for example because an answer is passed on. A connection that
+    /// still sends the start goes on.
+    pub fn release_start(&self) {
+        self.lock().release_start();
+    }
+
     /// Reads what the caller still sends and drops it, for at most `timeout`. A connection that has yet to send a body that
     /// was received to its end goes on; otherwise no connection reads the body any more.
     pub async fn discard_rest(&self, timeout: Duration) {
--- a/crates/buckthornturn/src/callers/request_dispatcher.rs
+++ b/crates/buckthornturn/src/callers/request_dispatcher.rs
@@ -269,6 +269,7 @@
         if is_shed(&parts) {
             return AttemptResult::NotRun(stage.target_shed().retry_after(SHED_RETRY_AFTER));
         }
+        job.upload.release_start();
         remove_hop_by_hop(&mut parts.headers);
         remove_product_headers(&mut parts.headers);
         let resources = AnswerResources {
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -34,7 +34,11 @@
 pub(super) struct UploadState {
     source: CallerBody,
     reader: u32,
+    /// Number of buffered parts that the current reader has sent.
+    sent_parts: usize,
     start: UploadStart,
+    /// Whether no reader will follow the current one.
+    is_last_reader: bool,
     received_bytes: u64,
     expected_bytes: Option<u64>,
     finished_at: Option<Instant>,
@@ -69,7 +73,9 @@
             finished_at: source.is_end_stream().then_some(now),
             source,
             reader: 0,
+            sent_parts: 0,
             start: UploadStart::Buffered { parts: Vec::new(), bytes: 0, share },
+            is_last_reader: false,
             received_bytes: 0,
             last_progress_at: now,
             fault: None,
@@ -79,11 +85,31 @@
     /// Number of a new reader that reads from the start; `None` if the start is gone or the body ended early.
     pub(super) fn take_whole(&mut self) -> Option<u32> {
         match (&self.start, &self.fault) {
-            (UploadStart::Buffered { .. }, None) => Some(self.replace_reader()),
+            (UploadStart::Buffered { .. }, None) if !self.is_last_reader => {
+                Some(self.replace_reader())
+            }
             _ => None,
         }
     }
 
+    /// Drops the buffered start as soon as the current reader has sent it, since the body is not sent again.
+    pub(super) fn release_start(&mut self) {
+        self.is_last_reader = true;
+        self.drop_sent_start();
+    }
+
+    fn drop_sent_start(&mut self) {
+        match &self.start {
+            UploadStart::Buffered { parts, .. }
+                if self.is_last_reader && self.sent_parts >= parts.len() =>
+            {
+                let digest = digest_parts(parts, self.expected_bytes);
+                self.start = UploadStart::Dropped { digest };
+            }
+            _ => {}
+        }
+    }
+
     /// Number of a new reader of the rest; `None` if nothing more is expected from the caller.
     pub(super) fn take_unfinished(&mut self) -> Option<u32> {
         let is_over = self.finished_at.is_some() || self.fault.is_some();
@@ -93,6 +119,7 @@
     /// Number of a new reader. The one before reads no more.
     fn replace_reader(&mut self) -> u32 {
         self.reader += 1;
+        self.sent_parts = 0;
         self.last_progress_at = Instant::now();
         self.reader
     }
@@ -103,15 +130,20 @@
     ///
     /// Fails with the reason why the reader must not go on.
     pub(super) fn buffered_part(
-        &self,
+        &mut self,
         reader: u32,
         place: usize,
     ) -> Result<Option<Bytes>, BodyFault> {
         self.check_reader(reader)?;
-        match &self.start {
-            UploadStart::Buffered { parts, .. } => Ok(parts.get(place).cloned()),
-            UploadStart::Dropped { .. } => Ok(None),
+        let part = match &self.start {
+            UploadStart::Buffered { parts, .. } => parts.get(place).cloned(),
+            UploadStart::Dropped { .. } => None,
+        };
+        if part.is_some() {
+            self.sent_parts = place + 1;
+            self.drop_sent_start();
         }
+        Ok(part)
     }
 
     /// Number of parts that are buffered; 0 once the start is dropped.
@@ -237,11 +269,15 @@
                 BufferRule::WithinBudget => share.grow(data.len()),
                 BufferRule::Never => false,
             };
+            if rule != BufferRule::Always {
+                self.sent_parts = parts.len();
+            }
             if !has_room {
                 let digest = digest_parts(parts, self.expected_bytes);
                 self.start = UploadStart::Dropped { digest };
             }
         }
+        self.drop_sent_start();
         Ok(data)
     }
 
--- a/crates/buckthornturn/tests/repeated_uploads.rs
+++ b/crates/buckthornturn/tests/repeated_uploads.rs
@@ -127,6 +127,12 @@
 async fn start_host(
     first: SocketAddr,
     second: SocketAddr,
+) -> (mpsc::UnboundedReceiver<usize>, SocketAddr) {
+    start_host_with(move |request| exchange(request, first, second).boxed()).await
+}
+
+async fn start_host_with(
+    exchange: impl Fn(Request<Incoming>) -> BoxFuture<'static, usize> + Send + Sync + 'static,
 ) -> (mpsc::UnboundedReceiver<usize>, SocketAddr) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -134,7 +140,7 @@
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
         let service = service_fn(async |request: Request<Incoming>| {
-            let bytes = exchange(request, first, second).await;
+            let bytes = exchange(request).await;
             let _ = sender.send(bytes);
             Ok::<_, Infallible>(Response::new(Empty::<Bytes>::new()))
         });
@@ -151,6 +157,7 @@
     assert!(refused.1.has_sent_request());
     drop(refused);
     let (response, _connection) = send(second, upload.take_whole().unwrap()).await;
+    upload.release_start();
     let mut answer = response.into_body();
     let mut bytes = 0;
     let mut is_passed_on = false;
@@ -164,6 +171,37 @@
     bytes
 }
 
+/// A start that is read for its digest is not sent yet when it is released.
+#[tokio::test]
+async fn a_body_whose_start_is_released_before_it_is_sent_is_whole() {
+    let (early, mut bodies) = start_target(async |mut stream: TcpStream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nearly").await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        read_request(&mut stream).await
+    })
+    .await;
+    let (mut answers, host) =
+        start_host_with(move |request| digest_first(request, early).boxed()).await;
+    let _caller = send_upload(host).await;
+    let body = tokio::time::timeout(Duration::from_secs(5), bodies.recv()).await;
+    assert_eq!(body.unwrap(), Some(BODY_BYTES), "bytes of the body");
+    assert_eq!(answers.recv().await, Some(5), "bytes of the answer");
+}
+
+/// Reads a body for its digest, sends it and releases its start with the head of the answer.
+async fn digest_first(request: Request<Incoming>, target: SocketAddr) -> usize {
+    let (_, body) = CallerBody::split_request(request);
+    let budget = Arc::<BufferBudget>::default();
+    let upload = ReplayableUpload::new(body, &budget, 8 << 20, Duration::from_secs(10));
+    let whole = upload.take_whole().unwrap();
+    whole.read_digest().await.unwrap();
+    let (response, connection) = send(target, whole).await;
+    upload.release_start();
+    let bytes = response.into_body().collect().await.unwrap().to_bytes().len();
+    assert!(connection.finish_request().await.is_some());
+    bytes
+}
+
 async fn send(
     address: SocketAddr,
     upload: WholeUpload,
--- a/crates/buckthornturn/tests/uploads.rs
+++ b/crates/buckthornturn/tests/uploads.rs
@@ -30,6 +30,8 @@
 /// Time in which bytes that a host passes on reach the target.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 const RESET_COUNT: usize = 200;
+/// Uploads whose bodies fill the buffers of a host.
+const STREAMS: usize = 24;
 
 /// A body whose parts can be told apart.
 fn long_body(bytes: usize) -> String {
@@ -172,3 +174,27 @@
     assert!(answer.starts_with("HTTP/1.1 401"), "{answer:?}");
     assert_eq!(target.received_requests().len(), 0);
 }
+
+/// The bodies of requests whose answers stream on took all room, although none of them can be sent again.
+#[tokio::test]
+async fn bodies_of_streams_leave_other_bodies_room_to_be_sent_again() {
+    let streaming = [TargetStep::SendEndlessBody; STREAMS / 2];
+    let [mut first, mut second] = [streaming.to_vec(), streaming.to_vec()];
+    first.push(TargetStep::Shed);
+    second.push(TargetStep::EchoPath);
+    let (first, second) =
+        (ScriptedTarget::start(&first).await, ScriptedTarget::start(&second).await);
+    let options = TestHostOptions { slots: 64, ..TestHostOptions::default() };
+    let host = TestHost::start_with(&[first.address, second.address], options).await;
+    let body = long_body(900_000);
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let mut stream = TcpStream::connect(host.address).await.unwrap();
+        let text = request(&format!("POST /read/{number}"), &[], &body);
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream.read_u8().await.unwrap();
+        streams.push(stream);
+    }
+    let answer = host.send("POST /read/last", &[], &long_body(400_000)).await;
+    assert_eq!((answer.status, answer.body()), (200, "/read/last"), "{}", answer.text);
+}
