--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -14,6 +14,7 @@
 mod key_check;
 mod key_redactor;
 mod once_runner;
+mod part_buffer;
 mod refusal;
 mod replayable_upload;
 mod request_dispatcher;
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -13,9 +13,7 @@
 
 use crate::callers::BodyFault;
 use crate::callers::CallerBody;
-
-/// Largest buffered part into which parts that follow are copied, in bytes. A part takes more memory than its bytes.
-const MAX_JOINED_BYTES: usize = 512;
+use crate::callers::part_buffer::PartBuffer;
 
 /// What is known of a caller's body at one moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,7 +58,7 @@
 /// Start of a body.
 enum UploadStart {
     /// All that was received so far.
-    Buffered { parts: Vec<Bytes>, bytes: usize, share: BufferShare },
+    Buffered { parts: PartBuffer, share: BufferShare },
     /// More was received than is buffered; the digest of the body is kept.
     Dropped { digest: u64 },
 }
@@ -74,7 +72,7 @@
             source,
             reader: 0,
             sent_parts: 0,
-            start: UploadStart::Buffered { parts: Vec::new(), bytes: 0, share },
+            start: UploadStart::Buffered { parts: PartBuffer::default(), share },
             is_last_reader: false,
             received_bytes: 0,
             last_progress_at: now,
@@ -101,7 +99,7 @@
     fn drop_sent_start(&mut self) {
         match &self.start {
             UploadStart::Buffered { parts, .. }
-                if self.is_last_reader && self.sent_parts >= parts.len() =>
+                if self.is_last_reader && self.sent_parts >= parts.count() =>
             {
                 let digest = digest_parts(parts, self.expected_bytes);
                 self.start = UploadStart::Dropped { digest };
@@ -135,8 +133,8 @@
         place: usize,
     ) -> Result<Option<Bytes>, BodyFault> {
         self.check_reader(reader)?;
-        let part = match &self.start {
-            UploadStart::Buffered { parts, .. } => parts.get(place).cloned(),
+        let part = match &mut self.start {
+            UploadStart::Buffered { parts, .. } => parts.part(place),
             UploadStart::Dropped { .. } => None,
         };
         if part.is_some() {
@@ -149,7 +147,7 @@
     /// Number of parts that are buffered; 0 once the start is dropped.
     pub(super) fn buffered_parts(&self) -> usize {
         match &self.start {
-            UploadStart::Buffered { parts, .. } => parts.len(),
+            UploadStart::Buffered { parts, .. } => parts.count(),
             UploadStart::Dropped { .. } => 0,
         }
     }
@@ -171,8 +169,8 @@
     pub(super) fn digest(&self) -> Option<u64> {
         match &self.start {
             UploadStart::Dropped { digest } => Some(*digest),
-            UploadStart::Buffered { parts, bytes, .. } => {
-                let is_known = self.finished_at.is_some() || *bytes >= MAX_DIGESTED_BYTES;
+            UploadStart::Buffered { parts, .. } => {
+                let is_known = self.finished_at.is_some() || parts.bytes() >= MAX_DIGESTED_BYTES;
                 is_known.then(|| digest_parts(parts, self.expected_bytes))
             }
         }
@@ -258,9 +256,8 @@
         if self.expected_bytes == Some(self.received_bytes) {
             self.finished_at = Some(self.last_progress_at);
         }
-        if let UploadStart::Buffered { parts, bytes, share } = &mut self.start {
-            *bytes += data.len();
-            buffer_part(parts, &data);
+        if let UploadStart::Buffered { parts, share } = &mut self.start {
+            parts.append(&data);
             let has_room = match rule {
                 BufferRule::Always => {
                     share.grow_unbounded(data.len());
@@ -270,7 +267,7 @@
                 BufferRule::Never => false,
             };
             if rule != BufferRule::Always {
-                self.sent_parts = parts.len();
+                self.sent_parts = parts.count();
             }
             if !has_room {
                 let digest = digest_parts(parts, self.expected_bytes);
@@ -294,16 +291,6 @@
     }
 }
 
-/// Buffers a part behind those before it, all of which the reader has read.
-fn buffer_part(parts: &mut Vec<Bytes>, data: &Bytes) {
-    match parts.last_mut() {
-        Some(last) if last.len() + data.len() <= MAX_JOINED_BYTES => {
-            *last = [&**last, data].concat().into();
-        }
-        _ => parts.push(data.clone()),
-    }
-}
-
-fn digest_parts(parts: &[Bytes], expected_bytes: Option<u64>) -> u64 {
-    digest_body(parts.iter().map(|part| &**part), expected_bytes)
+fn digest_parts(parts: &PartBuffer, expected_bytes: Option<u64>) -> u64 {
+    digest_body(parts.slices(), expected_bytes)
 }
