--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -170,6 +170,16 @@
         self.state.transfer.is_complete()
     }
 
+    /// Writes the rest of the request, whose answer was read to its end. `None` closes the connection: the body ended early,
+    /// or the target takes no more of it.
+    pub async fn finish_request(mut self) -> Option<TargetConnection<Idle>> {
+        self.state.transfer.wait_until_ended().await;
+        match self.sender.ready().await {
+            Ok(()) => self.release(),
+            Err(_) => None,
+        }
+    }
+
     /// Returns the connection for another request once the answer was read to its end. `None` closes it: the target still
     /// expects some of the request, and would read the next one as that.
     pub fn release(self) -> Option<TargetConnection<Idle>> {
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -13,9 +13,7 @@
 
 use crate::callers::BodyFault;
 use crate::callers::CallerBody;
-
-/// Largest buffered part into which parts that follow are copied, in bytes. A part takes more memory than its bytes.
-const MAX_JOINED_BYTES: usize = 512;
+use crate::callers::part_buffer::PartBuffer;
 
 /// What is known of a caller's body at one moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,7 +32,11 @@
 pub(super) struct UploadState {
     source: CallerBody,
     reader: u32,
+    /// Number of buffered parts that the current reader has sent.
+    sent_parts: usize,
     start: UploadStart,
+    /// Whether no reader will follow the current one.
+    is_last_reader: bool,
     received_bytes: u64,
     expected_bytes: Option<u64>,
     finished_at: Option<Instant>,
@@ -56,7 +58,7 @@
 /// Start of a body.
 enum UploadStart {
     /// All that was received so far.
-    Buffered { parts: Vec<Bytes>, bytes: usize, share: BufferShare },
+    Buffered { parts: PartBuffer, share: BufferShare },
     /// More was received than is buffered; the digest of the body is kept.
     Dropped { digest: u64 },
 }
@@ -69,7 +71,9 @@
             finished_at: source.is_end_stream().then_some(now),
             source,
             reader: 0,
-            start: UploadStart::Buffered { parts: Vec::new(), bytes: 0, share },
+            sent_parts: 0,
+            start: UploadStart::Buffered { parts: PartBuffer::default(), share },
+            is_last_reader: false,
             received_bytes: 0,
             last_progress_at: now,
             fault: None,
@@ -79,11 +83,31 @@
     /// Number of a new reader that reads from the start; `None` if the start is gone or the body ended early.
     pub(super) fn take_whole(&mut self) -> Option<u32> {
         match (&self.start, &self.fault) {
-            (UploadStart::Buffered { .. }, None) => Some(self.replace_reader()),
+            (UploadStart::Buffered { .. }, None) if !self.is_last_reader => {
+                Some(self.replace_reader())
+            }
             _ => None,
         }
     }
 
+    /// Drops the buffered start as soon as the current reader has sent it, since the body is not sent again.
+    pub(super) fn release_start(&mut self) {
+        self.is_last_reader = true;
+        self.drop_sent_start();
+    }
+
+    fn drop_sent_start(&mut self) {
+        match &self.start {
+            UploadStart::Buffered { parts, .. }
+                if self.is_last_reader && self.sent_parts >= parts.count() =>
+            {
+                let digest = digest_parts(parts, self.expected_bytes);
+                self.start = UploadStart::Dropped { digest };
+            }
+            _ => {}
+        }
+    }
+
     /// Number of a new reader of the rest; `None` if nothing more is expected from the caller.
     pub(super) fn take_unfinished(&mut self) -> Option<u32> {
         let is_over = self.finished_at.is_some() || self.fault.is_some();
@@ -93,6 +117,7 @@
     /// Number of a new reader. The one before reads no more.
     fn replace_reader(&mut self) -> u32 {
         self.reader += 1;
+        self.sent_parts = 0;
         self.last_progress_at = Instant::now();
         self.reader
     }
@@ -103,21 +128,26 @@
     ///
     /// Fails with the reason why the reader must not go on.
     pub(super) fn buffered_part(
-        &self,
+        &mut self,
         reader: u32,
         place: usize,
     ) -> Result<Option<Bytes>, BodyFault> {
         self.check_reader(reader)?;
-        match &self.start {
-            UploadStart::Buffered { parts, .. } => Ok(parts.get(place).cloned()),
-            UploadStart::Dropped { .. } => Ok(None),
+        let part = match &mut self.start {
+            UploadStart::Buffered { parts, .. } => parts.part(place),
+            UploadStart::Dropped { .. } => None,
+        };
+        if part.is_some() {
+            self.sent_parts = place + 1;
+            self.drop_sent_start();
         }
+        Ok(part)
     }
 
     /// Number of parts that are buffered; 0 once the start is dropped.
     pub(super) fn buffered_parts(&self) -> usize {
         match &self.start {
-            UploadStart::Buffered { parts, .. } => parts.len(),
+            UploadStart::Buffered { parts, .. } => parts.count(),
             UploadStart::Dropped { .. } => 0,
         }
     }
@@ -139,8 +169,8 @@
     pub(super) fn digest(&self) -> Option<u64> {
         match &self.start {
             UploadStart::Dropped { digest } => Some(*digest),
-            UploadStart::Buffered { parts, bytes, .. } => {
-                let is_known = self.finished_at.is_some() || *bytes >= MAX_DIGESTED_BYTES;
+            UploadStart::Buffered { parts, .. } => {
+                let is_known = self.finished_at.is_some() || parts.bytes() >= MAX_DIGESTED_BYTES;
                 is_known.then(|| digest_parts(parts, self.expected_bytes))
             }
         }
@@ -226,9 +256,8 @@
         if self.expected_bytes == Some(self.received_bytes) {
             self.finished_at = Some(self.last_progress_at);
         }
-        if let UploadStart::Buffered { parts, bytes, share } = &mut self.start {
-            *bytes += data.len();
-            buffer_part(parts, &data);
+        if let UploadStart::Buffered { parts, share } = &mut self.start {
+            parts.append(&data);
             let has_room = match rule {
                 BufferRule::Always => {
                     share.grow_unbounded(data.len());
@@ -237,11 +266,15 @@
                 BufferRule::WithinBudget => share.grow(data.len()),
                 BufferRule::Never => false,
             };
+            if rule != BufferRule::Always {
+                self.sent_parts = parts.count();
+            }
             if !has_room {
                 let digest = digest_parts(parts, self.expected_bytes);
                 self.start = UploadStart::Dropped { digest };
             }
         }
+        self.drop_sent_start();
         Ok(data)
     }
 
@@ -258,16 +291,6 @@
     }
 }
 
-/// Buffers a part behind those before it, all of which the reader has read.
-fn buffer_part(parts: &mut Vec<Bytes>, data: &Bytes) {
-    match parts.last_mut() {
-        Some(last) if last.len() + data.len() <= MAX_JOINED_BYTES => {
-            *last = [&**last, data].concat().into();
-        }
-        _ => parts.push(data.clone()),
-    }
-}
-
-fn digest_parts(parts: &[Bytes], expected_bytes: Option<u64>) -> u64 {
-    digest_body(parts.iter().map(|part| &**part), expected_bytes)
+fn digest_parts(parts: &PartBuffer, expected_bytes: Option<u64>) -> u64 {
+    digest_body(parts.slices(), expected_bytes)
 }
