--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -138,14 +138,12 @@
         let EntryCore { roster, quotas, keepers, .. } = core;
         let others =
             roster.hosts_with_liveness(now).filter(|(news, _)| news.host != self.identity.host);
-        *keepers = QuotaKeepers::select(
+        *keepers = QuotaKeepers::select_at_age(
             &self.identity.region,
+            now.saturating_duration_since(self.started_at),
             others.chain(std::iter::once((&own_heartbeat, true))),
         );
-        let is_kept_here = |customer: &str| {
-            let keeper = keepers.keeper_of(customer);
-            keeper.is_some_and(|keeper| keeper.host == self.identity.host)
-        };
+        let is_kept_here = |customer: &str| keepers.is_kept_by(&self.identity.host, customer);
         let other_regions: IndexSet<&RegionId> = self
             .settings
             .domains
--- a/crates/coordination/src/fleet/quota_keepers.rs
+++ b/crates/coordination/src/fleet/quota_keepers.rs
@@ -2,6 +2,7 @@
 //! hosts, each would get a fraction of a request a second and refuse requests that the limit allows.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::fleet::HostHeartbeat;
 use crate::fleet::HostPhase;
@@ -12,6 +13,9 @@
 
 /// Most keepers in a region, selected by capacity; enough to spread a few hundred requests a second.
 const MAX_KEEPERS: usize = 8;
+/// Time from the start of a host in which it may not yet have heard that others serve. Hosts that start together hear of
+/// each other first as of hosts that start.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// Host that is eligible to keep customers' tokens.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,6 +27,7 @@
     capacity: f64,
     hash: u64,
     is_live: bool,
+    is_serving: bool,
 }
 
 /// Keepers of customers' tokens, as one host sees them.
@@ -39,13 +44,34 @@
     pub fn select<'a>(
         own_region: &RegionId,
         hosts: impl Iterator<Item = (&'a HostHeartbeat, bool)>,
+    ) -> Self {
+        Self::select_by(own_region, hosts, |phase| phase == HostPhase::Serving)
+    }
+
+    /// Selects the keepers as [`select`](Self::select) does, for a host that started `age` ago. One that has just started
+    /// counts hosts that start as well: if each of many that start together counted only itself, each would grant tokens.
+    pub fn select_at_age<'a>(
+        own_region: &RegionId,
+        age: Duration,
+        hosts: impl Iterator<Item = (&'a HostHeartbeat, bool)>,
+    ) -> Self {
+        match age < SETTLE_TIME {
+            true => Self::select_by(own_region, hosts, |phase| phase != HostPhase::Leaving),
+            false => Self::select(own_region, hosts),
+        }
+    }
+
+    fn select_by<'a>(
+        own_region: &RegionId,
+        hosts: impl Iterator<Item = (&'a HostHeartbeat, bool)>,
+        is_eligible: impl Fn(HostPhase) -> bool,
     ) -> Self {
         let (mut local, mut remote) = (Vec::new(), Vec::new());
         let (mut live, mut all) = (0, 0);
         for (heartbeat, is_live) in hosts {
             all += 1;
             live += usize::from(is_live);
-            if heartbeat.phase != HostPhase::Serving {
+            if !is_eligible(heartbeat.phase) {
                 continue;
             }
             let keeper = KeeperHost {
@@ -54,6 +80,7 @@
                 capacity: heartbeat.capacity,
                 hash: rendezvous_score(&[&heartbeat.host]),
                 is_live,
+                is_serving: heartbeat.phase == HostPhase::Serving,
             };
             match heartbeat.region == *own_region {
                 true => local.push(keeper),
@@ -79,6 +106,11 @@
         live.max_by_key(|keeper| mix_hashes(keeper.hash, customer))
     }
 
+    /// Returns whether a host serves and is the keeper of a customer's tokens, as far as this host knows.
+    pub fn is_kept_by(&self, host: &str, customer: &str) -> bool {
+        self.keeper_of(customer).is_some_and(|keeper| &*keeper.host == host && keeper.is_serving)
+    }
+
     /// Returns whether a host is among the keepers of the own region, live or not.
     pub fn is_keeper(&self, host: &str) -> bool {
         self.local.iter().any(|keeper| &*keeper.host == host)
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -370,6 +370,25 @@
         let heard = hosts.iter().map(|heartbeat| (heartbeat, &*heartbeat.host == "a"));
         assert_eq!(QuotaKeepers::select(&"r1".into(), heard).keeper_of(CUSTOMER), None);
     };
+    hosts_that_start_together_agree_on_the_keeper_before_they_hear_that_others_serve: |_| {
+        let hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1), host("c", "r1", 0.1)];
+        let keeps = |own: usize| {
+            let mut heard = hosts.clone();
+            heard.iter_mut().for_each(|heartbeat| heartbeat.phase = HostPhase::Starting);
+            heard[own].phase = HostPhase::Serving;
+            let heard = heard.iter().map(|heartbeat| (heartbeat, true));
+            let keepers = QuotaKeepers::select_at_age(&"r1".into(), Duration::from_secs(1), heard);
+            keepers.is_kept_by(&hosts[own].host, CUSTOMER)
+        };
+        assert_eq!((0..hosts.len()).filter(|own| keeps(*own)).count(), 1);
+    };
+    a_host_that_starts_keeps_nothing_at_any_age: |_| {
+        let own = HostHeartbeat { phase: HostPhase::Starting, ..host("a", "r1", 0.1) };
+        for age in [1, 60].map(Duration::from_secs) {
+            let keepers = QuotaKeepers::select_at_age(&"r1".into(), age, [(&own, true)].into_iter());
+            assert!(!keepers.is_kept_by("a", CUSTOMER));
+        }
+    };
     a_host_that_starts_or_leaves_keeps_nothing: |_| {
         let mut hosts = [host("a", "r1", 0.1), host("b", "r1", 0.1)];
         hosts[0].phase = HostPhase::Starting;
--- a/crates/coordination/tests/quota_fleet.rs
+++ b/crates/coordination/tests/quota_fleet.rs
@@ -18,6 +18,10 @@
 
 const LIMIT: CustomerLimit = CustomerLimit { rate: 516.0, burst: 516.0 };
 const LOAD: f64 = 6.0;
+/// Time from the trouble on in which the model counts all admitted requests.
+const ADMISSION_SECONDS: f64 = 8.0;
+/// Seeds over which what a usual customer gets is averaged.
+const SERVED_SEEDS: u64 = 3;
 
 /// Plays a trouble with several seeds; prints and returns the number of seeds that broke the rule.
 fn count_broken(hosts: usize, trouble: QuotaTrouble, seeds: u64) -> usize {
@@ -65,6 +69,30 @@
     demand_that_moves_between_regions_keeps_the_limit: QuotaTrouble::ShiftingDemand, 10 hosts, 2 seeds;
 }
 
+macro_rules! usual_loads {
+    ($($name:ident: $trouble:expr, $hosts:literal hosts, at least $least:literal of the requests;)*) => {$(
+        /// A customer that sends five eighths of its limit in the trouble and after it. While all hosts restart, none
+        /// takes requests for a tenth of that time.
+        #[test]
+        fn $name() {
+            let case = QuotaCase { hosts: $hosts, limit: LIMIT, load: 0.625, trouble: $trouble };
+            let seeds = 0..SERVED_SEEDS;
+            let admitted: usize = seeds.map(|seed| QuotaModel::play(case, seed).admitted).sum();
+            let sent = LIMIT.rate * case.load * ADMISSION_SECONDS * SERVED_SEEDS as f64;
+            let share = admitted as f64 / sent;
+            println!("{} hosts, {:?}: {share:.3} served", $hosts, case.trouble);
+            assert!(share >= $least, "{share}");
+        }
+    )*};
+}
+
+usual_loads! {
+    a_usual_customer_is_served_as_all_hosts_restart: QuotaTrouble::RestartOfAll, 83 hosts, at least 0.85 of the requests;
+    a_usual_customer_is_served_as_hosts_restart_in_series: QuotaTrouble::RestartsInSeries(10), 83 hosts, at least 0.85 of the requests;
+    a_usual_customer_of_a_small_fleet_is_served_as_all_hosts_restart: QuotaTrouble::RestartOfAll, 10 hosts, at least 0.84 of the requests;
+    a_usual_customer_of_a_small_fleet_is_served_as_hosts_restart_in_series: QuotaTrouble::RestartsInSeries(100), 10 hosts, at least 0.89 of the requests;
+}
+
 macro_rules! surveys {
     ($($name:ident: $hosts:literal hosts;)*) => {$(
         #[test]
--- a/crates/coordination/tests/support/quota_host.rs
+++ b/crates/coordination/tests/support/quota_host.rs
@@ -116,9 +116,9 @@
         self.roster.prune(now);
         let own = self.own_heartbeat();
         let hosts = self.roster.hosts_with_liveness(now).chain(std::iter::once((&own, true)));
-        self.keepers = QuotaKeepers::select(&own.region, hosts);
-        let keeper = self.keepers.keeper_of(CUSTOMER);
-        let is_keeper = keeper.is_some_and(|keeper| keeper.host == own.host);
+        let age = now.saturating_duration_since(self.started_at);
+        self.keepers = QuotaKeepers::select_at_age(&own.region, age, hosts);
+        let is_keeper = self.keepers.is_kept_by(&own.host, CUSTOMER);
         let regions: Vec<RegionId> = REGIONS
             .iter()
             .filter(|region| ***region != *own.region)
