--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -17,6 +17,7 @@
 use coordination::fleet::RetryAllowance;
 use coordination::fleet::RouteSplit;
 use coordination::fleet::StateVersion;
+use coordination::fleet::StoreContact;
 use coordination::fleet::TargetBalancer;
 use coordination::fleet::TargetEntry;
 use coordination::fleet::TargetReach;
@@ -31,7 +32,6 @@
 use spdlog::warn;
 
 use crate::entry::ChangeHistory;
-use crate::entry::StoreContact;
 use crate::entry::warning_throttle::WarningThrottle;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -224,7 +224,7 @@
             let (batch, is_following) = {
                 let core = self.lock();
                 let batch = core.histories[part as usize].changes_after(after);
-                (batch, core.store_contacts[part as usize].follows_store())
+                (batch, core.store_contacts[part as usize].serves_watches())
             };
             let batch = batch.ok_or(SourceError::HistoryGone)?;
             if batch.changes.is_empty() && !is_following {
--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -13,6 +13,7 @@
 use coordination::fleet::RegionLoads;
 use coordination::fleet::RouteHost;
 use coordination::fleet::StateRoute;
+use coordination::fleet::StoreContact;
 use coordination::fleet::choose_state_route;
 use coordination::ids::RegionId;
 use coordination::ids::ServiceId;
@@ -21,7 +22,6 @@
 
 use crate::entry::EntryCore;
 use crate::entry::EntryState;
-use crate::entry::StoreContact;
 
 /// Largest age of the loads that other hosts measured, about the service time of a request.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -33,7 +33,6 @@
 mod request_record;
 mod settings_watch;
 mod state_follower;
-mod store_contact;
 mod warning_throttle;
 
 pub use attempt_guard::AttemptGuard;
@@ -75,4 +74,3 @@
 pub use request_facts::RequestFacts;
 pub use settings_watch::SettingsWatch;
 pub use state_follower::StateFollower;
-pub use store_contact::StoreContact;
--- a/crates/buckthornturn/src/entry/store_contact.rs
+++ b/crates/coordination/src/fleet/store_contact.rs
@@ -43,4 +43,9 @@
     pub fn follows_store(&self) -> bool {
         self.is_following
     }
+
+    /// Returns whether other hosts may wait here for changes.
+    pub fn serves_watches(&self) -> bool {
+        self.is_following
+    }
 }
