--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -72,6 +72,8 @@
     pub(super) has_read_targets: bool,
     pub(super) has_joined: bool,
     pub(super) store_contacts: [StoreContact; StatePart::ALL.len()],
+    /// Whether the latest heartbeat said that this host follows the store.
+    pub(super) published_follows_store: bool,
     /// When the store was last found to answer no host, after this host had read its targets.
     pub(super) store_lost_at: Option<Instant>,
     pub(super) last_answer_at: [Instant; StatePart::ALL.len()],
@@ -107,6 +109,7 @@
             has_read_targets: false,
             has_joined: false,
             store_contacts: [StoreContact::default(); StatePart::ALL.len()],
+            published_follows_store: false,
             store_lost_at: None,
             last_answer_at: [Instant::now(); StatePart::ALL.len()],
             heartbeat_number: 0,
@@ -176,6 +179,11 @@
         self.store_contacts.iter().all(StoreContact::reaches_store)
     }
 
+    /// Whether this host follows the store itself, for all parts.
+    pub fn follows_store(&self) -> bool {
+        self.store_contacts.iter().all(StoreContact::follows_store)
+    }
+
     /// Whether the store was recently lost for the whole fleet, so that entries of live targets may be missing.
     pub fn is_after_outage(&self, now: Instant) -> bool {
         self.store_lost_at
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -211,7 +211,8 @@
     /// # Errors
     ///
     /// Returns `HistoryGone` if the changes are no longer kept and the part must be read whole, and `Unavailable` once this
-    /// host does not follow the store, so that those who wait here turn to another host.
+    /// host serves no others, so that those who wait here turn to another host. Without a wait the caller asks whether this
+    /// host follows the store.
     pub async fn wait_for_changes(
         &self,
         part: StatePart,
@@ -221,13 +222,16 @@
         let end = Instant::now() + wait;
         let mut change_count = self.change_count.subscribe();
         loop {
-            let (batch, is_following) = {
+            let (batch, is_served) = {
                 let core = self.lock();
                 let batch = core.histories[part as usize].changes_after(after);
-                (batch, core.store_contacts[part as usize].serves_watches())
+                let contact = &core.store_contacts[part as usize];
+                let is_served =
+                    contact.follows_store() || !wait.is_zero() && contact.serves_watches();
+                (batch, is_served)
             };
             let batch = batch.ok_or(SourceError::HistoryGone)?;
-            if batch.changes.is_empty() && !is_following {
+            if batch.changes.is_empty() && !is_served {
                 return UnavailableSnafu { reason: "not following the store" }.fail();
             }
             let is_due = !batch.changes.is_empty() || Instant::now() >= end;
@@ -274,9 +278,19 @@
         }
     }
 
+    /// Records that the store is called for a part now.
+    pub fn record_store_call(&self, part: StatePart) {
+        self.lock().store_contacts[part as usize].record_call();
+    }
+
     /// Records that a call to the store for a part failed.
     pub fn record_store_failure(&self, part: StatePart) {
         self.lock().store_contacts[part as usize].record_failure(Instant::now());
+    }
+
+    /// Records that a relay failed or refused a call, and wakes the hosts that follow this one.
+    pub fn record_relay_failure(&self, part: StatePart) {
+        self.lock().store_contacts[part as usize].record_relay_failure();
         self.change_count.send_modify(|count| *count += 1);
     }
 
--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -13,8 +13,8 @@
 use coordination::fleet::RegionLoads;
 use coordination::fleet::RouteHost;
 use coordination::fleet::StateRoute;
-use coordination::fleet::StoreContact;
 use coordination::fleet::choose_state_route;
+use coordination::fleet::other_candidates;
 use coordination::ids::RegionId;
 use coordination::ids::ServiceId;
 use indexmap::IndexMap;
@@ -38,14 +38,28 @@
     pub fn state_route(&self, is_avoided: impl Fn(SocketAddr) -> bool) -> StateRoute {
         let now = Instant::now();
         let core = self.lock();
-        let own = RouteHost {
+        choose_state_route(&self.route_host(&core, now), core.roster.live_hosts(now), is_avoided)
+    }
+
+    /// Mesh addresses of the hosts that must hear soon whether this one follows the store; none if that has not changed since
+    /// the latest heartbeat.
+    pub fn store_news_receivers(&self) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let core = self.lock();
+        match core.follows_store() == core.published_follows_store {
+            true => Vec::new(),
+            false => other_candidates(&self.route_host(&core, now), core.roster.live_hosts(now)),
+        }
+    }
+
+    fn route_host(&self, core: &EntryCore, now: Instant) -> RouteHost<'_> {
+        RouteHost {
             host: &self.identity.host,
             region: &self.identity.region,
             capacity: self.settings.capacity_cores,
             incarnation: self.identity.incarnation,
             reaches_store: core.store_contacts.iter().all(|contact| contact.may_try(now)),
-        };
-        choose_state_route(&own, core.roster.live_hosts(now), is_avoided)
+        }
     }
 
     /// Whether this host watches with short waits on behalf of its region: it is the first relay, the largest and then first
@@ -67,6 +81,7 @@
     pub fn begin_heartbeat(&self) {
         let mut core = self.lock();
         core.heartbeat_number += 1;
+        core.published_follows_store = core.follows_store();
         core.quotas.publish_demand(self.token_time());
     }
 
@@ -99,7 +114,7 @@
             eras: core.applied.map(|version| version.era),
             configuration_number: core.configuration_number,
             reaches_store: core.reaches_store(),
-            follows_store: core.store_contacts.iter().all(StoreContact::follows_store),
+            follows_store: core.follows_store(),
             reaches_targets: !core.reach.is_lost(),
             fleet: core.roster.known_hosts().count() + 1,
             demand: IndexMap::new(),
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -64,8 +64,12 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.state.tick();
-                    if tick.is_multiple_of(TICKS_PER_HEARTBEAT) || !self.state.has_joined() {
-                        self.send_heartbeats().await;
+                    let store_news_receivers = self.state.store_news_receivers();
+                    let is_due = tick.is_multiple_of(TICKS_PER_HEARTBEAT)
+                        || !self.state.has_joined()
+                        || !store_news_receivers.is_empty();
+                    if is_due {
+                        self.send_heartbeats(store_news_receivers).await;
                     }
                     tick += 1;
                 }
@@ -77,10 +81,10 @@
         }
     }
 
-    async fn send_heartbeats(&self) {
+    async fn send_heartbeats(&self, store_news_receivers: Vec<SocketAddr>) {
         self.state.begin_heartbeat();
         let own = self.state.identity().mesh_address;
-        let mut receivers: IndexSet<SocketAddr> = IndexSet::new();
+        let mut receivers: IndexSet<SocketAddr> = store_news_receivers.into_iter().collect();
         let remote_keepers = {
             let core = self.state.lock();
             let identity = self.state.identity();
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -141,7 +141,10 @@
         let route = self.route();
         let batch = match route {
             StateRoute::Relay(relay) => self.peers.read(relay, self.part).await,
-            StateRoute::Store => self.source.read(self.part).await,
+            StateRoute::Store => {
+                self.state.record_store_call(self.part);
+                self.source.read(self.part).await
+            }
         };
         match (route, &batch) {
             (StateRoute::Relay(relay), Ok(snapshot))
@@ -160,14 +163,17 @@
         let route = self.route();
         let is_region_poller = self.state.is_region_poller();
         let wait = match is_region_poller {
-            // Whether the store came back from an older copy shows only in its next answer.
+            // Whether the store came back from an older copy, or a relay follows it, shows only in the next answer.
             _ if self.failures > 0 => Duration::ZERO,
             true => SHORT_WATCH_WAIT,
             false => WATCH_WAIT,
         };
         let watch = match route {
             StateRoute::Relay(relay) => self.peers.watch(relay, self.part, after, wait).boxed(),
-            StateRoute::Store => self.source.watch(self.part, after, wait),
+            StateRoute::Store => {
+                self.state.record_store_call(self.part);
+                self.source.watch(self.part, after, wait)
+            }
         };
         let batch = tokio::select! {
             batch = watch => batch,
@@ -197,6 +203,7 @@
     fn avoid_relay(&mut self, relay: SocketAddr) {
         self.avoided_relays.retain(|_, at| at.elapsed() < RELAY_RETRY_DELAY);
         self.avoided_relays.insert(relay, Instant::now());
+        self.state.record_relay_failure(self.part);
     }
 
     fn record_answer(&mut self, route: StateRoute) {
--- a/crates/coordination/src/fleet/host_roster.rs
+++ b/crates/coordination/src/fleet/host_roster.rs
@@ -247,6 +247,9 @@
             if heartbeat.beat >= self.latest_beat { heartbeat.phase } else { self.heartbeat.phase };
         self.set_phase(phase, now);
         self.set_reach(heartbeat.reaches_targets, now);
+        if heartbeat.follows_store != self.heartbeat.follows_store {
+            self.changed_at = now;
+        }
         self.sent_at = is_direct.then_some(now);
         let known = std::mem::replace(&mut self.heartbeat, HostHeartbeat { phase, ..heartbeat });
         if !is_direct {
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -88,6 +88,7 @@
 pub use state_route::RouteHost;
 pub use state_route::StateRoute;
 pub use state_route::choose_state_route;
+pub use state_route::other_candidates;
 pub use state_version::ConfigurationPosition;
 pub use state_version::StateVersion;
 pub use store_contact::StoreContact;
--- a/crates/coordination/src/fleet/state_route.rs
+++ b/crates/coordination/src/fleet/state_route.rs
@@ -48,6 +48,8 @@
     capacity: f64,
     mesh: Option<SocketAddr>,
     reaches_store: bool,
+    follows_store: bool,
+    is_avoided: bool,
 }
 
 /// Chooses the route of a host among the `live` other hosts. `is_avoided` tells which relays failed or lagged recently.
@@ -61,13 +63,43 @@
     if live.len() < LARGE_FLEET_HOSTS {
         return StateRoute::Store;
     }
-    let regional = live.into_iter().filter(|known| known.region == *own.region);
+    let candidates = list_candidates(own, &live, is_avoided);
+    let first = |is_chosen: &dyn Fn(&RelayCandidate<'_>) -> bool| {
+        let chosen = candidates.iter().filter(|candidate| is_chosen(candidate));
+        chosen.take(RELAYS_PER_REGION).collect::<Vec<_>>()
+    };
+    let is_own = |candidate: &RelayCandidate<'_>| candidate.mesh.is_none();
+    let reaching = first(&|candidate| candidate.reaches_store && !candidate.is_avoided);
+    let following = first(&|candidate| candidate.follows_store && !candidate.is_avoided);
+    // Hosts that only have not failed yet may not follow the store either.
+    let trying = first(&|candidate| !candidate.is_avoided && !is_own(candidate));
+    let is_failed_candidate = candidates.iter().any(is_own) && !own.reaches_store;
+    let relays = match [following, trying] {
+        _ if reaching.iter().any(|candidate| is_own(candidate)) => return StateRoute::Store,
+        [following, _] if !following.is_empty() => following,
+        _ if is_failed_candidate => return StateRoute::Store,
+        [_, trying] if !trying.is_empty() => trying,
+        _ => first(&|candidate| !is_own(candidate)),
+    };
+    let spread = usize::try_from(own.incarnation % relays.len() as u64).unwrap_or(0);
+    relays[spread].mesh.map_or(StateRoute::Store, StateRoute::Relay)
+}
+
+/// Hosts of the own region that may follow the store, in the order in which they do so.
+fn list_candidates<'a>(
+    own: &RouteHost<'a>,
+    live: &[&'a HostHeartbeat],
+    is_avoided: impl Fn(SocketAddr) -> bool,
+) -> Vec<RelayCandidate<'a>> {
+    let regional = live.iter().filter(|known| known.region == *own.region);
     let mut candidates: Vec<RelayCandidate<'_>> = regional
         .map(|known| RelayCandidate {
             host: &known.host,
             capacity: known.capacity,
             mesh: Some(known.mesh),
-            reaches_store: known.reaches_store && !is_avoided(known.mesh),
+            reaches_store: known.reaches_store,
+            follows_store: known.reaches_store && known.follows_store,
+            is_avoided: is_avoided(known.mesh),
         })
         .collect();
     candidates.push(RelayCandidate {
@@ -75,21 +107,26 @@
         capacity: own.capacity,
         mesh: None,
         reaches_store: own.reaches_store,
+        follows_store: false,
+        is_avoided: false,
     });
     candidates.sort_by(|a, b| b.capacity.total_cmp(&a.capacity).then_with(|| a.host.cmp(b.host)));
     candidates.truncate(CANDIDATES_PER_REGION);
-    let reaching = candidates.iter().filter(|candidate| candidate.reaches_store);
-    let mut relays: Vec<&RelayCandidate<'_>> = reaching.take(RELAYS_PER_REGION).collect();
-    if relays.is_empty() {
-        let is_candidate = candidates.iter().any(|candidate| candidate.mesh.is_none());
-        relays = match is_candidate {
-            true => return StateRoute::Store,
-            false => candidates.iter().take(RELAYS_PER_REGION).collect(),
-        };
-    }
-    if relays.iter().any(|relay| relay.mesh.is_none()) {
-        return StateRoute::Store;
+    candidates
+}
+
+/// Mesh addresses of the hosts that may follow the store for a region beside this one, which must hear soon whether it does;
+/// none if this host is not one of them.
+pub fn other_candidates<'a>(
+    own: &RouteHost<'a>,
+    live: impl Iterator<Item = &'a HostHeartbeat>,
+) -> Vec<SocketAddr> {
+    let live: Vec<&HostHeartbeat> =
+        live.filter(|known| known.phase != HostPhase::Leaving && known.host != *own.host).collect();
+    let candidates = list_candidates(own, &live, |_| false);
+    let is_candidate = candidates.iter().any(|candidate| candidate.mesh.is_none());
+    match is_candidate && live.len() >= LARGE_FLEET_HOSTS {
+        true => candidates.into_iter().filter_map(|candidate| candidate.mesh).collect(),
+        false => Vec::new(),
     }
-    let spread = usize::try_from(own.incarnation % relays.len() as u64).unwrap_or(0);
-    relays[spread].mesh.map_or(StateRoute::Store, StateRoute::Relay)
 }
