--- a/crates/buckthornturn/tests/gate.rs
+++ b/crates/buckthornturn/tests/gate.rs
@@ -384,14 +384,8 @@
 /// The free slot of a target that has refused a request was counted as one for it, so that none was borrowed.
 #[tokio::test(start_paused = true)]
 async fn a_retry_borrows_a_slot_of_a_target_that_it_may_use() {
-    let fleet = GateFleet::start(FleetShape {
-        hosts: 2,
-        domains: 2,
-        targets: 2,
-        slots: 2,
-        ..UNLIMITED_FLEET
-    })
-    .await;
+    let shape = FleetShape { rate: 1e6, burst: 1e6, ..SMALL_FLEET };
+    let fleet = GateFleet::start(shape).await;
     let first = fleet.admit(0, 0).await.unwrap();
     let (target, arrived_at) = (first.target.clone(), now());
     drop(first);
--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -16,6 +16,8 @@
 
 use crate::support::sent_request::compare_request;
 
+const SHED: &str = "HTTP/1.1 503 X\r\ntarget-shed: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// What a target does with one request.
 #[derive(Clone, Copy, Debug)]
 pub enum TargetStep {
@@ -140,18 +142,8 @@
         let path = head.split(' ').nth(1)?.to_owned();
         let number = shared.received_requests.lock().unwrap().len();
         let step = shared.steps[number.min(shared.steps.len() - 1)];
-        let shed = "HTTP/1.1 503 X\r\ntarget-shed: 1\r\ncontent-length: 0\r\n\r\n";
         let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
-        match step {
-            TargetStep::ShedEarly => stream.write_all(shed.as_bytes()).await.ok()?,
-            TargetStep::EchoEarly => stream.write_all(echo.as_bytes()).await.ok()?,
-            TargetStep::AnswerAroundBody(bytes) => {
-                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
-                stream.write_all(head.as_bytes()).await.ok()?;
-                stream.write_all(&vec![b'a'; bytes / 2]).await.ok()?;
-            }
-            _ => {}
-        }
+        answer_before_body(&mut stream, step, &echo).await?;
         let body = match step {
             TargetStep::AnswerEarly => String::new(),
             _ => {
@@ -185,7 +177,7 @@
             TargetStep::Close => return None,
             TargetStep::Hang => drop(stream.read_u8().await),
             TargetStep::SendEndlessBody => send_endless_body(&mut stream).await?,
-            TargetStep::Shed => stream.write_all(shed.as_bytes()).await.ok()?,
+            TargetStep::Shed => stream.write_all(SHED.as_bytes()).await.ok()?,
             TargetStep::AnswerEarly => {
                 shared.received_requests.lock().unwrap().push(head + &body);
                 stream.write_all(echo.as_bytes()).await.ok()?;
@@ -196,6 +188,20 @@
     }
 }
 
+/// Sends what a step sends before the body of its request is read.
+async fn answer_before_body(stream: &mut TcpStream, step: TargetStep, echo: &str) -> Option<()> {
+    match step {
+        TargetStep::ShedEarly => stream.write_all(SHED.as_bytes()).await.ok(),
+        TargetStep::EchoEarly => stream.write_all(echo.as_bytes()).await.ok(),
+        TargetStep::AnswerAroundBody(bytes) => {
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.ok()?;
+            stream.write_all(&vec![b'a'; bytes / 2]).await.ok()
+        }
+        _ => Some(()),
+    }
+}
+
 async fn send_endless_body(stream: &mut TcpStream) -> Option<()> {
     stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await.ok()?;
     loop {
