--- a/crates/coordination/tests/shifts.rs
+++ b/crates/coordination/tests/shifts.rs
@@ -17,6 +17,7 @@
 use support::fleet_parts::TestRequest;
 use support::fleet_parts::balancer;
 use support::fleet_parts::entry;
+use support::shift_model::NeighbourShares;
 use support::shift_model::ShiftCase;
 use support::shift_model::ShiftModel;
 use support::shift_model::TargetTrouble;
@@ -38,6 +39,8 @@
     region: 0,
     share: 1.0,
     second: None,
+    burst: 1.0,
+    shares: NeighbourShares::Current,
 };
 const BUSY: ShiftCase = ShiftCase { load: 0.65, ..CALM };
 const FULL: ShiftCase = ShiftCase { load: 0.87, ..CALM };
@@ -45,6 +48,10 @@
 /// A region with a tenth of the targets, whose callers run mostly in the others.
 const UNEVEN: ShiftCase = ShiftCase { targets: [6, 24, 24], load: 0.55, ..CALM };
 
+/// Callers of one region triple and need half as much again as its targets have, while the other regions use half of theirs.
+const BURST: ShiftCase =
+    ShiftCase { load: 0.5, burst: 3.0, shares: NeighbourShares::Reported, ..CALM };
+
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -104,6 +111,45 @@
         ShiftCase { trouble: TargetTrouble::Closed(seconds(8)), ..BUSY } => refused 0.15;
 }
 
+/// Share of a region's requests refused in `TIME_AFTER` if what runs outside grows at half the pace that the platform allows, where
+/// callers ask for `demand` times what the region's targets can run.
+fn refused_at_half_pace(demand: f64) -> f64 {
+    let steps = TIME_AFTER.as_millis() as usize / 100;
+    let refused_of = |step: usize| {
+        let share = (MAX_SHIFT / 2.0 / 2.0 * step as f64 / 10.0).min(0.9);
+        (1.0 - 1.0 / (1.0 - share) / demand).max(0.0)
+    };
+    (0..steps).map(refused_of).sum::<f64>() / steps as f64
+}
+
+macro_rules! bursts {
+    ($($name:ident: $hosts:literal hosts, $targets:literal targets;)*) => {
+        $(#[test] fn $name() {
+            let case = ShiftCase { hosts: $hosts, targets: [$targets; 3], ..BURST };
+            check(case, refused_at_half_pace(case.load * case.burst));
+        })*
+    };
+}
+
+bursts! {
+    callers_in_a_burst_are_not_refused_beside_free_regions: 30 hosts, 18 targets;
+    callers_in_a_burst_are_not_refused_in_a_small_fleet: 12 hosts, 8 targets;
+    callers_in_a_burst_are_not_refused_in_a_large_fleet: 120 hosts, 47 targets;
+}
+
+/// Requests that are exchanged run cold and far away, and no caller more is served.
+#[test]
+fn regions_that_are_all_overloaded_do_not_exchange_requests() {
+    for (hosts, targets) in [(12, 8), (30, 18)] {
+        for load in [1.1, 1.5] {
+            let case = ShiftCase { hosts, targets: [targets; 3], load, ..CALM };
+            let report = ShiftModel::new(case, 0).play(TIME_BEFORE, TIME_AFTER);
+            println!("{load:.2} of the slots, {hosts} hosts: {report:?}");
+            assert!(report.outside_at_end <= 0.1, "{:.2} run outside", report.outside_at_end);
+        }
+    }
+}
+
 const TROUBLES: [(TargetTrouble, f64); 11] = [
     (TargetTrouble::Limits(Duration::from_secs(10)), 1.0),
     (TargetTrouble::Limits(Duration::from_secs(10)), 0.3),
--- a/crates/coordination/tests/support/shift_model.rs
+++ b/crates/coordination/tests/support/shift_model.rs
@@ -27,6 +27,8 @@
 const QUEUE_SLOTS: usize = 2;
 const HEARTBEAT_STEPS: u64 = 25;
 const HEARTBEAT_RECEIVERS: usize = 5;
+/// Hosts of its region to which a host reports its share outside with each heartbeat.
+const NEAR_RECEIVERS: usize = 4;
 const DATAGRAM_LOSS: f64 = 0.05;
 const OBJECTS: u64 = 400;
 const DOMAINS: usize = 6;
@@ -89,6 +91,19 @@
     pub share: f64,
     /// What happens later to other targets of the region: the delay, the trouble and the part of the targets.
     pub second: Option<(Duration, TargetTrouble, f64)>,
+    /// Requests of the region's callers from the trouble on, in multiples of those before.
+    pub burst: f64,
+    /// How hosts learn what other hosts of their region send outside.
+    pub shares: NeighbourShares,
+}
+
+/// How hosts learn the shares that other hosts of their region send outside.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NeighbourShares {
+    /// They know the current shares of some.
+    Current,
+    /// They know what each reported last, which in a large region was many heartbeats ago.
+    Reported,
 }
 
 /// What the rule and callers see.
@@ -103,6 +118,8 @@
     pub refused: f64,
     /// The same for requests of the last five seconds.
     pub refused_at_end: f64,
+    /// Largest share of a region's requests of the last five seconds that ran in another region.
+    pub outside_at_end: f64,
 }
 
 /// Fleet in play.
@@ -119,11 +136,14 @@
     runs: Vec<[[usize; REGIONS]; REGIONS]>,
     /// Requests by 100 ms and region of the host: all, and those that were not served.
     outcomes: Vec<[[usize; 2]; REGIONS]>,
+    troubled_from: Option<Instant>,
 }
 
 struct ModelHost {
     region: usize,
     balancer: TargetBalancer,
+    /// Shares outside that hosts of the region reported to this one last.
+    reported_shares: IndexMap<usize, f64>,
     running: Vec<RunningRequest>,
 }
 
@@ -184,6 +204,7 @@
             events: Vec::new(),
             runs: Vec::new(),
             outcomes: Vec::new(),
+            troubled_from: None,
         }
     }
 
@@ -191,12 +212,14 @@
     pub fn play(&mut self, before: Duration, after: Duration) -> ShiftReport {
         self.play_until(self.now + before);
         self.schedule_troubles();
+        self.troubled_from = Some(self.now);
         let troubled_from = self.bin();
         self.play_until(self.now + after);
         let (shift, checks) = self.largest_shift();
         let refused = self.refused_share(troubled_from);
         let refused_at_end = self.refused_share(self.bin().saturating_sub(50));
-        ShiftReport { shift, checks, refused, refused_at_end }
+        let outside_at_end = self.largest_outside(self.bin().saturating_sub(50));
+        ShiftReport { shift, checks, refused, refused_at_end, outside_at_end }
     }
 
     fn play_until(&mut self, end: Instant) {
@@ -314,7 +337,9 @@
     fn send_requests(&mut self, host: usize) {
         let targets: usize = self.case.targets.iter().sum();
         let capacity = targets as f64 * f64::from(self.case.slots) / SERVICE_TIME.as_secs_f64();
-        let expected = capacity * self.case.load / self.hosts.len() as f64 * STEP.as_secs_f64();
+        let is_burst = self.troubled_from.is_some() && self.hosts[host].region == self.case.region;
+        let load = self.case.load * if is_burst { self.case.burst } else { 1.0 };
+        let expected = capacity * load / self.hosts.len() as f64 * STEP.as_secs_f64();
         let count = expected as u32 + u32::from(self.rng.random_bool(expected.fract()));
         for _ in 0..count {
             let request = TestRequest::for_object(self.rng.random_range(0..OBJECTS));
@@ -398,7 +423,8 @@
         }
     }
 
-    /// Lets a host learn the mean share outside and the mean loads of some hosts of its region.
+    /// Lets a host report its share outside to some hosts of its region, and learn the mean share and the mean loads of some of
+    /// them.
     fn learn_neighbours(&mut self, host: usize) {
         let region = self.hosts[host].region;
         let near: Vec<usize> = (0..self.hosts.len())
@@ -407,10 +433,14 @@
         let heard: Vec<usize> = near.sample(&mut self.rng, HEARTBEAT_RECEIVERS).copied().collect();
         let service: ServiceId = "service".into();
         let balancers = || heard.iter().map(|other| &self.hosts[*other].balancer);
-        let shares: Vec<f64> =
+        let mut shares: Vec<f64> =
             balancers().filter_map(|b| b.spill_shares().get(&service).copied()).collect();
         let loads: Vec<RegionLoads> =
             balancers().filter_map(|b| b.measured_loads(self.now).get(&service).copied()).collect();
+        if self.case.shares == NeighbourShares::Reported {
+            self.report_share(host, &near, &service);
+            shares = self.hosts[host].reported_shares.values().copied().collect();
+        }
         let mean = |values: &mut dyn Iterator<Item = f64>, count: usize| {
             values.sum::<f64>() / count.max(1) as f64
         };
@@ -426,6 +456,16 @@
         }
     }
 
+    fn report_share(&mut self, host: usize, near: &[usize], service: &ServiceId) {
+        let share = self.hosts[host].balancer.spill_shares().get(service).copied();
+        let receivers: Vec<usize> = near.sample(&mut self.rng, NEAR_RECEIVERS).copied().collect();
+        for (receiver, share) in receivers.iter().filter_map(|to| Some((*to, share?))) {
+            if !self.rng.random_bool(DATAGRAM_LOSS) {
+                self.hosts[receiver].reported_shares.insert(host, share);
+            }
+        }
+    }
+
     fn bin(&self) -> usize {
         ((self.now - self.started_at).as_millis() / BIN.as_millis()) as usize
     }
@@ -437,6 +477,18 @@
         refused as f64 / all.max(1) as f64
     }
 
+    fn largest_outside(&self, from: usize) -> f64 {
+        let share_of = |region: usize| {
+            let (mut inside, mut all) = (0, 0);
+            for bin in &self.runs[from..] {
+                inside += bin[region][region];
+                all += bin[region].iter().sum::<usize>();
+            }
+            1.0 - inside as f64 / all.max(1) as f64
+        };
+        (0..REGIONS).map(share_of).fold(0.0, f64::max)
+    }
+
     fn largest_shift(&self) -> ((f64, f64), usize) {
         let (mut largest, mut checks) = ((0.0, 0.0), 0);
         for end in START_BINS + WINDOW_BINS..self.runs.len().saturating_sub(WINDOW_BINS) {
@@ -472,7 +524,12 @@
         let all: Vec<_> = (0..hosts).map(balancer_host).collect();
         let mut balancer = TargetBalancer::new(balancer_host(number), 1.0 / REGIONS as f64);
         balancer.set_hosts(all, now);
-        Self { region: number % DOMAINS / 2, balancer, running: Vec::new() }
+        Self {
+            region: number % DOMAINS / 2,
+            balancer,
+            reported_shares: IndexMap::new(),
+            running: Vec::new(),
+        }
     }
 }
 
