--- a/crates/buckthornturn/tests/platform/state.rs
+++ b/crates/buckthornturn/tests/platform/state.rs
@@ -8,6 +8,7 @@
 use buckthornturn::interface::StateBatch;
 use buckthornturn::interface::StatePart;
 use coordination::fleet::StateRoute;
+use futures::future::join_all;
 use serde_json::Value;
 use serde_json::json;
 use standin::platform::PlatformStore;
@@ -276,6 +277,30 @@
     }
 }
 
+/// Hosts that took a follower for a relay once waited there, and heard of changes from heartbeats only.
+#[tokio::test]
+async fn followers_refuse_watches_at_once() {
+    const HOSTS: usize = 20;
+    let fleet = EntryFleet::start(HOSTS, 1).await;
+    fleet
+        .wait_until("all hosts but two have a relay", async || {
+            fleet.hosts.iter().filter(|host| follows_store(host)).count() == 2
+        })
+        .await;
+    let watches = (0..HOSTS).map(|host| {
+        let known = fleet.hosts[host].state().snapshot(StatePart::Targets);
+        let path =
+            format!("/state/targets?after={}&era={}&wait_ms=5000", known.revision, known.era);
+        let mesh = fleet.ports[host].mesh;
+        async move { tokio::time::timeout(APPLY_BOUND, get(mesh, &path)).await.ok() }
+    });
+    let answers = join_all(watches).await;
+    let refused = answers.iter().flatten().filter(|answer| answer.status() == 503).count();
+    // A host that knew few others when it started has called the store, and serves those who wait at it.
+    assert!(refused >= HOSTS / 2, "{refused} hosts refused");
+    assert!(answers[0].is_none(), "the first relay answered {:?}", answers[0]);
+}
+
 /// A relay that is behind once brought back targets that its follower knew to leave.
 #[tokio::test]
 async fn older_state_of_a_relay_is_not_applied() {
