--- a/crates/coordination/tests/quota_fleet.rs
+++ b/crates/coordination/tests/quota_fleet.rs
@@ -59,6 +59,7 @@
 troubles! {
     hosts_that_start_together_do_not_each_keep_the_tokens: QuotaTrouble::RestartOfAll, 83 hosts, 1 seeds;
     hosts_that_start_together_and_slowly_do_not_each_keep_the_tokens: QuotaTrouble::SlowRestartOfAll, 83 hosts, 1 seeds;
+    hosts_that_serve_together_long_after_their_start_do_not_each_keep_the_tokens: QuotaTrouble::RestartOfAllWithoutStore, 83 hosts, 1 seeds;
     hosts_that_start_while_regions_are_cut_off_keep_the_limit: QuotaTrouble::RestartOfAllDuringCut, 83 hosts, 1 seeds;
     regions_cut_off_after_a_surge_do_not_each_count_the_old_demand_of_the_others: QuotaTrouble::CutBetweenRegions, 83 hosts, 1 seeds;
     a_flood_without_trouble_keeps_the_limit: QuotaTrouble::Nothing, 83 hosts, 1 seeds;
--- a/crates/coordination/tests/support/quota_case.rs
+++ b/crates/coordination/tests/support/quota_case.rs
@@ -9,6 +9,8 @@
     Nothing,
     /// All hosts restart at once.
     RestartOfAll,
+    /// All hosts restart at once and read their state only five seconds later, when the store is back.
+    RestartOfAllWithoutStore,
     /// All hosts restart at once and are short of processor time for a while, so that answers are late.
     SlowRestartOfAll,
     /// One host after the other restarts, with this many steps between.
--- a/crates/coordination/tests/support/quota_host.rs
+++ b/crates/coordination/tests/support/quota_host.rs
@@ -45,6 +45,8 @@
     pub is_keeper: bool,
     beat: u64,
     started_at: Instant,
+    /// When the host reads its state, without which it does not serve.
+    pub reads_state_at: Instant,
 }
 
 /// Returns the region of a host.
@@ -67,6 +69,7 @@
             is_keeper: false,
             beat: 0,
             started_at: now,
+            reads_state_at: now,
         }
     }
 
@@ -145,6 +148,9 @@
 
     fn update_joined(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.started_at);
+        if now < self.reads_state_at {
+            return;
+        }
         let known = self.roster.known_hosts().count() + 1;
         let reported = self.roster.known_hosts().map(|news| news.fleet).max();
         self.has_joined |= match reported {
--- a/crates/coordination/tests/support/quota_model.rs
+++ b/crates/coordination/tests/support/quota_model.rs
@@ -44,7 +44,10 @@
 const FULL_LOAD_START: usize = 4 * STEPS_PER_SECOND;
 const TROUBLE_START: usize = 5 * STEPS_PER_SECOND;
 const TROUBLE_END: usize = 11 * STEPS_PER_SECOND;
-const END: usize = 13 * STEPS_PER_SECOND;
+const ADMISSION_END: usize = 13 * STEPS_PER_SECOND;
+const END: usize = 16 * STEPS_PER_SECOND;
+/// Time for which the store is away after a restart of all hosts.
+const STORE_AWAY: Duration = Duration::from_secs(5);
 /// Requests before the full load as a multiple of the rate, so that the buckets are full when it comes.
 const LIGHT_LOAD: f64 = 0.3;
 /// Share of the datagrams that are lost.
@@ -118,13 +121,17 @@
     fn play_trouble(&mut self) {
         for number in self.restarts.swap_remove(&self.step).unwrap_or_default() {
             let incarnation = self.step as u64;
-            let host = QuotaHost::start(number, incarnation, self.case.limit, self.now());
+            let mut host = QuotaHost::start(number, incarnation, self.case.limit, self.now());
+            if self.case.trouble == QuotaTrouble::RestartOfAllWithoutStore {
+                host.reads_state_at += STORE_AWAY;
+            }
             self.hosts[number] = Some(host);
         }
         let since = self.step.checked_sub(TROUBLE_START);
         match (self.case.trouble, since) {
             (
                 QuotaTrouble::RestartOfAll
+                | QuotaTrouble::RestartOfAllWithoutStore
                 | QuotaTrouble::SlowRestartOfAll
                 | QuotaTrouble::RestartOfAllDuringCut,
                 Some(0),
@@ -386,7 +393,7 @@
             worst_from,
             by_source: [of(0), of(1), of(2)],
             new_keepers: self.keeper_changes.iter().filter(|at| near.contains(at)).count(),
-            admitted: total(TROUBLE_START, END),
+            admitted: total(TROUBLE_START, ADMISSION_END),
         }
     }
 }
