--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; review/build.sh and the build of the deploy file come first.
 cd "$(dirname "$0")/../.."
-exec timeout -k 2 118 target/review/rig slow-upload-term . review/4
+exec timeout -k 2 118 target/review/rig removed-after-cut . review/5
--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -67,6 +67,11 @@
         self.address(200, 8205)
     }
 
+    /// Address of the link to the store, where it goes through a proxy.
+    pub fn store_link(&self) -> SocketAddr {
+        self.address(201, 8205)
+    }
+
     pub fn server(&self, number: u8) -> SocketAddr {
         self.address(100 + number, 8080)
     }
@@ -79,10 +84,18 @@
 }
 
 impl Host {
-    /// Starts a host with the command and the template of the deploy file. `number` is counted from 1.
-    pub fn start(root: &Path, folder: &Path, network: &Network, number: u8, hosts: u8) -> io::Result<Self> {
+    /// Starts a host with the command and the template of the deploy file. `number` is counted from 1. The host reaches the
+    /// store at `store`, and is in the given zone or else in the next one in turn.
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        network: &Network,
+        (number, hosts): (u8, u8),
+        store: SocketAddr,
+        zone: Option<usize>,
+    ) -> io::Result<Self> {
         let address = |port: u16| network.address(number, port);
-        let (zone, region) = ZONES[usize::from(number - 1) % ZONES.len()];
+        let (zone, region) = ZONES[zone.unwrap_or(usize::from(number - 1)) % ZONES.len()];
         let name = format!("edge-{zone}-{number}");
         let seeds: Vec<String> =
             (1..=hosts.min(3)).map(|seed| format!("\"{}\"", network.address(seed, 8200))).collect();
@@ -98,7 +111,7 @@
             ("listen_addrs.readiness|json", quoted(&address(8201))),
             ("listen_addrs.control_plane|json", quoted(&address(8200))),
             ("ip", address(0).ip().to_string()),
-            ("platform.address|json", quoted(&network.store())),
+            ("platform.address|json", quoted(&store)),
             ("seed_nodes|json", format!("[{}]", seeds.join(","))),
             ("limits.cpu_share|json", "0.2".into()),
             ("bounds.retry_budget_ratio|json", "0.2".into()),
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -7,7 +7,9 @@
 mod http;
 mod pipelined_gone;
 mod pipelined_term;
+mod proxy;
 mod record;
+mod removed_after_cut;
 mod server;
 mod slow_upload_term;
 mod socket;
@@ -15,6 +17,7 @@
 mod unreadable_entry;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::panic;
 use std::path::Path;
 use std::path::PathBuf;
@@ -82,10 +85,20 @@
         self.store.put("config", "main", config.as_bytes());
     }
 
-    /// Starts hosts and waits until all are ready.
+    /// Starts hosts, each in a zone of its own, and waits until all are ready.
     pub fn start_hosts(&self, count: u8) -> Vec<Host> {
+        self.start_hosts_at(count, self.network.store(), None)
+    }
+
+    /// Starts hosts of one zone that reach the store at an address, and waits until all are ready.
+    pub fn start_hosts_of_zone(&self, count: u8, store: SocketAddr) -> Vec<Host> {
+        self.start_hosts_at(count, store, Some(0))
+    }
+
+    fn start_hosts_at(&self, count: u8, store: SocketAddr, zone: Option<usize>) -> Vec<Host> {
         let start = |number| {
-            Host::start(&self.root, &self.folder, &self.network, number, count).expect("a host does not start")
+            let host = Host::start(&self.root, &self.folder, &self.network, (number, count), store, zone);
+            host.expect("a host does not start")
         };
         let hosts: Vec<Host> = (1..=count).map(start).collect();
         for host in &hosts {
@@ -121,6 +134,7 @@
         "unreadable-entry" => unreadable_entry::play,
         "pipelined-gone" => pipelined_gone::play,
         "pipelined-term" => pipelined_term::play,
+        "removed-after-cut" => removed_after_cut::play,
         "slow-upload-term" => slow_upload_term::play,
         _ => panic!("no such case"),
     };
--- a/review/rig/pipelined_gone.rs
+++ b/review/rig/pipelined_gone.rs
@@ -34,7 +34,7 @@
 }
 
 pub fn play(stage: &Stage) -> bool {
-    let plan = ServerPlan { work: WORK_TIME, answer_bytes: 5_000, reading: BodyReading::Fast };
+    let plan = ServerPlan { slots: 16, work: WORK_TIME, answer_bytes: 5_000, reading: BodyReading::Fast };
     let servers: Vec<_> = (0..4)
         .map(|number| {
             let id = format!("i-{number}");
--- a/review/rig/pipelined_term.rs
+++ b/review/rig/pipelined_term.rs
@@ -41,7 +41,7 @@
 }
 
 pub fn play(stage: &Stage) -> bool {
-    let plan = ServerPlan { work: Duration::from_millis(1_000), answer_bytes: ANSWER_BYTES, reading: BodyReading::Fast };
+    let plan = ServerPlan { slots: 16, work: Duration::from_millis(1_000), answer_bytes: ANSWER_BYTES, reading: BodyReading::Fast };
     let servers: Vec<_> = (0..3)
         .map(|number| {
             let id = format!("i-{number}");
--- a/review/rig/server.rs
+++ b/review/rig/server.rs
@@ -22,6 +22,8 @@
 /// How a server behaves.
 #[derive(Clone, Debug)]
 pub struct ServerPlan {
+    /// Requests at the same time that the server's entry names.
+    pub slots: u32,
     /// Time that a request takes.
     pub work: Duration,
     /// Length of an answer's body.
@@ -100,9 +102,9 @@
     pub fn entry(&self, service: &str, zone: &str, state: &str, sequence: u64) -> String {
         format!(
             "{{\"address\":\"{}\",\"born\":1700000000000,\"info\":{{\"backend_service\":\"{service}\",\
-             \"version\":\"v1\",\"zone\":\"{zone}\",\"slots\":16}},\"status\":{{\"state\":\"{state}\",\
+             \"version\":\"v1\",\"zone\":\"{zone}\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\
              \"sequence\":{sequence},\"cold_remaining_ms\":0}}}}",
-            self.address
+            self.address, self.plan.slots
         )
     }
 
--- a/review/rig/slow_upload_term.rs
+++ b/review/rig/slow_upload_term.rs
@@ -23,7 +23,7 @@
         true => BodyReading::Paused(READ_TIME),
         false => BodyReading::Steady(READ_TIME),
     };
-    let plan = ServerPlan { work: WORK_TIME, answer_bytes: 500, reading };
+    let plan = ServerPlan { slots: 16, work: WORK_TIME, answer_bytes: 500, reading };
     let servers: Vec<_> = (0..3)
         .map(|number| {
             let id = format!("i-{number}");
--- a/review/rig/socket.rs
+++ b/review/rig/socket.rs
@@ -10,6 +10,7 @@
 const SOCK_STREAM: i32 = 1;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
+const SO_LINGER: i32 = 13;
 
 /// Address as the C library has it.
 #[repr(C)]
@@ -54,3 +55,10 @@
         _ => Err(io::Error::last_os_error()),
     }
 }
+
+/// Makes the connection end with a reset when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    let linger = [1, 0];
+    // SAFETY: the socket is open, and the value outlives the call and has the given length.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
--- a/review/rig/unreadable_entry.rs
+++ b/review/rig/unreadable_entry.rs
@@ -26,7 +26,7 @@
 const READABLE: &str = r#"{"address":"127.0.0.1:1","info":{"backend_service":"other","version":"v1 \ud83d\udd6f","zone":"heredia-a","slots":3},"status":{"state":"ready","sequence":1,"cold_remaining_ms":0}}"#;
 
 pub fn play(stage: &Stage) -> bool {
-    let plan = ServerPlan { work: Duration::from_millis(400), answer_bytes: 500, reading: BodyReading::Fast };
+    let plan = ServerPlan { slots: 16, work: Duration::from_millis(400), answer_bytes: 500, reading: BodyReading::Fast };
     let servers: Vec<Arc<Server>> = (0..4)
         .map(|number| {
             let id = format!("i-{number}");
