--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -110,10 +110,17 @@
 }
 
 fn main() {
+    let code = panic::catch_unwind(run).unwrap_or(2);
+    end_processes();
+    exit(code);
+}
+
+/// Plays the case of the command line and returns the exit code.
+fn run() -> i32 {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let [case, root, folder] = arguments.as_slice() else {
         eprintln!("usage: rig CASE ROOT FOLDER");
-        exit(2);
+        return 2;
     };
     let record = Arc::new(Record::new(Path::new(folder).join("record.txt")));
     let scratch = std::env::temp_dir().join(format!("rig-{}", std::process::id()));
@@ -151,5 +158,5 @@
     record.note(verdict);
     record.save();
     println!("{verdict}");
-    exit(code);
+    code
 }
--- a/review/rig/server.rs
+++ b/review/rig/server.rs
@@ -37,8 +37,6 @@
 pub enum BodyReading {
     /// As it comes.
     Fast,
-    /// In equal parts over a time.
-    Steady(Duration),
     /// The start as it comes, then nothing for a time, then the rest as it comes.
     Paused(Duration),
 }
@@ -47,8 +45,6 @@
 const BYTES_BEFORE_PAUSE: usize = 60_000;
 /// Receive buffer of a server's connection.
 const WINDOW_BYTES: i32 = 32 << 10;
-/// Time between two parts of a body that is read steadily.
-const PART_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request that a server began to work on.
 #[derive(Clone, Debug)]
@@ -192,15 +188,6 @@
     /// Reads the body and works, until the connection is closed. Returns the length of the body.
     fn run(&self, head: &Head, reader: &mut BufReader<TcpStream>, stream: &TcpStream) -> io::Result<usize> {
         let body_bytes = match (self.plan.reading, head.length()) {
-            (BodyReading::Steady(time), Some(length)) => {
-                let parts = (time.as_millis() / PART_INTERVAL.as_millis()).max(1) as usize;
-                let mut body = vec![0; length];
-                for part in body.chunks_mut(length.div_ceil(parts).max(1)) {
-                    reader.read_exact(part)?;
-                    thread::sleep(PART_INTERVAL);
-                }
-                length
-            }
             (BodyReading::Paused(time), Some(length)) if length > BYTES_BEFORE_PAUSE => {
                 let mut body = vec![0; length];
                 reader.read_exact(&mut body[..BYTES_BEFORE_PAUSE])?;
--- a/review/rig/slow_upload_term.rs
+++ b/review/rig/slow_upload_term.rs
@@ -15,15 +15,15 @@
 const TIME_BUDGET: Duration = Duration::from_secs(5);
 const WORK_TIME: Duration = Duration::from_millis(1_040);
 const BODY_BYTES: usize = 360_000;
-/// Time that a server takes to read a body.
+/// Time for which a server reads nothing.
 const READ_TIME: Duration = Duration::from_millis(2_800);
 
 pub fn play(stage: &Stage) -> bool {
-    let reading = match stage.has_trouble {
-        true => BodyReading::Paused(READ_TIME),
-        false => BodyReading::Steady(READ_TIME),
+    // Without the disruption a server reads at once, and takes as long in all.
+    let plan = match stage.has_trouble {
+        true => ServerPlan { slots: 16, work: WORK_TIME, answer_bytes: 500, reading: BodyReading::Paused(READ_TIME) },
+        false => ServerPlan { slots: 16, work: READ_TIME + WORK_TIME, answer_bytes: 500, reading: BodyReading::Fast },
     };
-    let plan = ServerPlan { slots: 16, work: WORK_TIME, answer_bytes: 500, reading };
     let servers: Vec<_> = (0..3)
         .map(|number| {
             let id = format!("i-{number}");
@@ -57,6 +57,8 @@
         hosts[0].signal(SIGTERM);
         clients.into_iter().map(|client| client.join().unwrap()).sum()
     });
+    // Until the servers read on.
+    thread::sleep(READ_TIME);
     stage.record.note(format!("uploads that were broken off while their server was at work: {broken}"));
     broken == 0
 }
