Connections: reset under a request that is given up

A connection whose attempt was given up (timeout, caller gone, other end of the attempt) was closed in order. Bytes that the kernel had queued behind a cut link reached the target seconds later, after its domain had been evacuated; a store write that was given up took effect late in the same way.

The state of a connection now decides how it ends (`sockets`): from before the first byte of a request until its answer is whole and the request is written to its end, SO_LINGER 0 is set, so that every end of the connection, also that of the process, resets it. Idle connections close in order as before, also after `connection: close`. A socket without the option is used as before; the first failure is logged.

--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -21,6 +21,9 @@
 use crate::callers::UploadBody;
 use crate::callers::WholeUpload;
 use crate::interface::StreamDialer;
+use crate::sockets::IdleSocket;
+use crate::sockets::OutgoingStream;
+use crate::sockets::RequestSocket;
 
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
@@ -79,15 +82,19 @@
 
 /// State of a connection that may be given a request.
 #[derive(Debug)]
-pub struct Idle;
+pub struct Idle {
+    socket: IdleSocket,
+}
 
 /// State of a connection whose request has an answer; the request may still be under way.
 #[derive(Debug)]
 pub struct Busy {
+    socket: RequestSocket,
     transfer: Arc<TransferRecord>,
 }
 
-/// Connection to a target. Dropping it closes the connection, which tells the target to stop working on the request.
+/// Connection to a target. Dropping an idle one closes it in order. Dropping a busy one, or what `send` returns, resets it, which
+/// tells the target to stop working on the request and leaves no byte of that in the kernel.
 pub struct TargetConnection<S> {
     sender: http1::SendRequest<UploadBody>,
     task: AbortOnDropHandle<()>,
@@ -112,6 +119,7 @@
             Err(_) => return TimedOutSnafu.fail(),
         };
         stream.set_nodelay(true).context(ConnectSnafu)?;
+        let (stream, socket) = OutgoingStream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake::<_, UploadBody>(TokioIo::new(stream))
@@ -123,7 +131,7 @@
                 _ => {}
             }
         });
-        Ok(Self { sender, task: AbortOnDropHandle::new(task), state: Idle })
+        Ok(Self { sender, task: AbortOnDropHandle::new(task), state: Idle { socket } })
     }
 
     /// Whether another request may be sent: the last answer was read to its end, nothing came after it, and the
@@ -143,7 +151,7 @@
     ///
     /// Fails if the connection ends before the head of the answer.
     pub async fn send(
-        mut self,
+        self,
         request: Request<WholeUpload>,
     ) -> Result<(TargetResponse, TargetConnection<Busy>), SendError> {
         let (mut head, upload) = request.into_parts();
@@ -151,9 +159,11 @@
             set_chunked(&mut head.headers);
         }
         let (body, transfer) = upload.into_body();
-        match self.sender.try_send_request(Request::from_parts(head, body)).await {
+        let Self { mut sender, task, state } = self;
+        let socket = state.socket.begin_request();
+        match sender.try_send_request(Request::from_parts(head, body)).await {
             Ok(response) => {
-                let (sender, task, state) = (self.sender, self.task, Busy { transfer });
+                let state = Busy { socket, transfer };
                 Ok((response, TargetConnection { sender, task, state }))
             }
             Err(mut error) => Err(match error.take_message() {
@@ -170,7 +180,7 @@
         self.state.transfer.is_complete()
     }
 
-    /// Writes the rest of the request, whose answer was read to its end. `None` closes the connection: the body ended early,
+    /// Writes the rest of the request, whose answer was read to its end. `None` resets the connection: the body ended early,
     /// or the target takes no more of it.
     pub async fn finish_request(mut self) -> Option<TargetConnection<Idle>> {
         self.state.transfer.wait_until_ended().await;
@@ -180,10 +190,14 @@
         }
     }
 
-    /// Returns the connection for another request once the answer was read to its end. `None` closes it: the target still
+    /// Returns the connection for another request once the answer was read to its end. `None` resets it: the target still
     /// expects some of the request, and would read the next one as that.
     pub fn release(self) -> Option<TargetConnection<Idle>> {
         let Self { sender, task, state } = self;
-        state.transfer.is_complete().then_some(TargetConnection { sender, task, state: Idle })
+        let Busy { socket, transfer } = state;
+        transfer.is_complete().then(|| {
+            let state = Idle { socket: socket.finish_request() };
+            TargetConnection { sender, task, state }
+        })
     }
 }
--- a/crates/buckthornturn/src/entry/buffered_body.rs
+++ b/crates/buckthornturn/src/entry/buffered_body.rs
@@ -34,7 +34,7 @@
     Streamed(Box<StreamedBody>),
 }
 
-/// A body whose rest is still being received. Dropping it closes the target's connection.
+/// A body whose rest is still being received. Dropping it resets the target's connection.
 pub struct StreamedBody {
     start: Option<Bytes>,
     rest: Incoming,
@@ -90,7 +90,9 @@
     }
 
     fn finish_complete(&mut self) {
-        self.sending = None;
+        if let Some((connection, _lease)) = self.sending.take() {
+            drop(connection.release());
+        }
         if let Some(mut attempt) = self.attempt.take() {
             attempt.guard.finish_answered(attempt.status, attempt.load);
         }
--- a/crates/buckthornturn/src/lib.rs
+++ b/crates/buckthornturn/src/lib.rs
@@ -19,6 +19,7 @@
 mod run;
 pub mod settings;
 pub mod shared_state;
+pub mod sockets;
 pub mod state;
 pub mod steering;
 pub mod store;
--- a/crates/buckthornturn/src/store/connection_pool.rs
+++ b/crates/buckthornturn/src/store/connection_pool.rs
@@ -7,14 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::interface::StreamDialer;
+use crate::sockets::IdleSocket;
+use crate::sockets::OutgoingStream;
+use crate::sockets::RequestSocket;
 
 /// Idle connections that are kept open.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -27,14 +30,22 @@
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
     dialer: Arc<dyn StreamDialer>,
-    idle: Mutex<Vec<StoreSender>>,
+    idle: Mutex<Vec<IdleConnection>>,
     active_permits: Semaphore,
 }
 
-/// A connection acquired from the pool. Dropping it closes it; `ConnectionPool::release` returns it for reuse.
+struct IdleConnection {
+    sender: StoreSender,
+    task: AbortOnDropHandle<()>,
+    socket: IdleSocket,
+}
+
+/// A connection acquired from the pool for one request. Dropping it resets it; `ConnectionPool::release` returns it for reuse.
 pub(crate) struct PooledConnection<'a> {
     pub(crate) sender: StoreSender,
     pub(crate) is_reused: bool,
+    task: AbortOnDropHandle<()>,
+    socket: RequestSocket,
     _permit: SemaphorePermit<'a>,
 }
 
@@ -58,15 +69,19 @@
     ) -> Result<PooledConnection<'_>, Box<str>> {
         let acquire = async {
             let permit = self.active_permits.acquire().await.map_err(error_text)?;
-            if let Some(sender) = self.pop_idle_sender().filter(|_| !must_be_new) {
-                return Ok(PooledConnection { sender, is_reused: true, _permit: permit });
+            if let Some(idle) = self.pop_idle().filter(|_| !must_be_new) {
+                return Ok(idle.acquire(true, permit));
             }
             let stream = self.dialer.dial(self.address).await.map_err(error_text)?;
             stream.set_nodelay(true).map_err(error_text)?;
+            let (stream, socket) = OutgoingStream::new(stream);
             let (sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(error_text)?;
-            tokio::spawn(connection.map(drop));
-            Ok(PooledConnection { sender, is_reused: false, _permit: permit })
+            let task = tokio::spawn(async move {
+                let _ = connection.await;
+            });
+            let idle = IdleConnection { sender, task: AbortOnDropHandle::new(task), socket };
+            Ok(idle.acquire(false, permit))
         };
         tokio::time::timeout(timeout, acquire)
             .await
@@ -76,18 +91,28 @@
     /// Returns a connection to the pool. Call it only after the whole response body was read.
     pub(crate) fn release(&self, connection: PooledConnection<'_>) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push(connection.sender);
+        let PooledConnection { sender, task, socket, .. } = connection;
+        let released = IdleConnection { sender, task, socket: socket.finish_request() };
+        if idle.len() < MAX_IDLE_CONNECTIONS && !released.sender.is_closed() {
+            idle.push(released);
         }
     }
 
-    fn pop_idle_sender(&self) -> Option<StoreSender> {
+    fn pop_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|sender| !sender.is_closed());
+        idle.retain(|connection| !connection.sender.is_closed());
         idle.pop()
     }
 }
 
+impl IdleConnection {
+    fn acquire(self, is_reused: bool, permit: SemaphorePermit<'_>) -> PooledConnection<'_> {
+        let Self { sender, task, socket } = self;
+        let socket = socket.begin_request();
+        PooledConnection { sender, is_reused, task, socket, _permit: permit }
+    }
+}
+
 fn error_text(error: impl std::error::Error) -> Box<str> {
     error.to_string().into()
 }
--- a/crates/buckthornturn/src/targets/target_poller.rs
+++ b/crates/buckthornturn/src/targets/target_poller.rs
@@ -36,6 +36,8 @@
 use crate::interface::PlanCell;
 use crate::interface::StreamDialer;
 use crate::interface::TcpDialer;
+use crate::sockets::IdleSocket;
+use crate::sockets::OutgoingStream;
 use crate::steering::TargetSteering;
 use crate::targets::PollAssignment;
 use crate::targets::report_body::MAX_REPORT_BYTES;
@@ -81,7 +83,8 @@
 struct PollConnection {
     address: SocketAddr,
     sender: http1::SendRequest<Empty<Bytes>>,
-    _task: AbortOnDropHandle<()>,
+    task: AbortOnDropHandle<()>,
+    socket: IdleSocket,
 }
 
 struct PolledTarget {
@@ -203,17 +206,19 @@
     target: &PolledTarget,
     dialer: &dyn StreamDialer,
 ) -> PollResult {
-    let mut connection = match connection {
+    let connection = match connection {
         Some(known) if !known.sender.is_closed() => known,
         _ => connect(target.address, dialer).await?,
     };
-    connection.sender.ready().await.context(ExchangeSnafu)?;
+    let PollConnection { address, mut sender, task, socket } = connection;
+    let socket = socket.begin_request();
+    sender.ready().await.context(ExchangeSnafu)?;
     let request = Request::get(&*target.path)
         .header(header::HOST, target.address.to_string())
         .body(Empty::new())
         .map_err(|error| PollError::Unreadable { reason: error.to_string().into() })?;
     let at = Instant::now();
-    let response = connection.sender.send_request(request).await.context(ExchangeSnafu)?;
+    let response = sender.send_request(request).await.context(ExchangeSnafu)?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await;
     let unreadable = |reason: String| PollError::Unreadable { reason: reason.into() };
@@ -230,7 +235,8 @@
         in_flight: body.in_flight,
         slots: body.slots.unwrap_or(target.slots),
     };
-    Ok((connection, report))
+    let socket = socket.finish_request();
+    Ok((PollConnection { address, sender, task, socket }, report))
 }
 
 async fn connect(
@@ -238,10 +244,11 @@
     dialer: &dyn StreamDialer,
 ) -> Result<PollConnection, PollError> {
     let stream = dialer.dial(address).await.context(ConnectSnafu)?;
-    let io = TokioIo::new(stream);
-    let (sender, connection) = http1::handshake(io).await.context(ExchangeSnafu)?;
+    let (stream, socket) = OutgoingStream::new(stream);
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.context(ExchangeSnafu)?;
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(PollConnection { address, sender, _task: AbortOnDropHandle::new(task) })
+    Ok(PollConnection { address, sender, task: AbortOnDropHandle::new(task), socket })
 }
