Callers: read and discard unread input before a connection is closed

A socket that is closed with unread input is reset, and the peer loses what it has not read of the last answer. This happened to callers that had sent further requests behind the answered one.

--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -19,11 +19,16 @@
 use http::header;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::rt::Read;
+use hyper::rt::Write;
+use hyper::service::Service;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::conn::auto::Connection;
+use hyper_util::server::conn::auto::HttpServerConnExec;
 use indexmap::IndexMap;
 use spdlog::debug;
 use spdlog::warn;
@@ -33,6 +38,7 @@
 use tokio::task::JoinSet;
 use tokio_rustls::TlsAcceptor;
 
+use crate::callers::SharedStream;
 use crate::callers::StallGuard;
 use crate::settings::CallerBounds;
 use crate::tls::accept_tls;
@@ -150,18 +156,15 @@
                 Ok(stream) => stream,
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
-            let io = TokioIo::new(StallGuard::new(stream, answer_idle));
+            let stream = SharedStream::new(StallGuard::new(stream, answer_idle));
             let has_request = Arc::new(AtomicBool::new(false));
             let service =
                 connection_service(handler, peer, phase.clone(), Arc::clone(&has_request));
-            let mut connection = pin!(builder.serve_connection(io, service_fn(service)));
-            let mut phase = phase;
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = wait_for_missing_request(&has_request, head_timeout) => return,
-                () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
-            }
-            let _ = connection.await;
+            let io = TokioIo::new(stream.clone());
+            let connection = builder.serve_connection(io, service_fn(service));
+            let missing_request = wait_for_missing_request(&has_request, head_timeout);
+            serve_connection(connection, phase, missing_request).await;
+            stream.close().await;
         });
     }
 
@@ -206,6 +209,29 @@
     builder
 }
 
+/// Serves a connection until it ends or lacks its first request. Once the server closes, no further request is read.
+async fn serve_connection<I, S, B>(
+    connection: Connection<'_, I, S, TokioExecutor>,
+    mut phase: watch::Receiver<ServerPhase>,
+    missing_request: impl Future<Output = ()>,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    S::Future: 'static,
+    I: Read + Write + Unpin + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    TokioExecutor: HttpServerConnExec<S::Future, B>,
+{
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = missing_request => return,
+        () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
 fn connection_service<H, F, B>(
     handler: H,
     peer: SocketAddr,
--- a/crates/buckthornturn/src/listener.rs
+++ b/crates/buckthornturn/src/listener.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio_rustls::TlsAcceptor;
 
+use crate::callers::SharedStream;
 use crate::tls::accept_tls;
 
 /// Accepts connections, with TLS if `tls` is given, and serves HTTP/1 and HTTP/2 requests with `handler`, which also gets
@@ -47,7 +48,9 @@
             let mut builder = Builder::new(TokioExecutor::new());
             builder.http1().timer(TokioTimer::new());
             builder.http2().timer(TokioTimer::new());
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            let stream = SharedStream::new(stream);
+            let _ = builder.serve_connection(TokioIo::new(stream.clone()), service).await;
+            stream.close().await;
         });
     }
 }
