Callers: detect the end of a connection behind unread requests

The HTTP server does not read on while its buffer holds a part of a further request, so requests of callers that had left ran to their end, and the further ones after them.

While a request that was received whole waits for its answer, the task of the connection reads up to 16 KiB ahead. Once the caller's side has ended, the connection ends with its requests. A request that was still in the buffer does not start.

--- a/crates/buckthornturn/src/callers/caller_service.rs
+++ b/crates/buckthornturn/src/callers/caller_service.rs
@@ -21,7 +21,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Incoming;
 use serde_json::json;
 use spdlog::info;
 
@@ -161,7 +160,7 @@
     /// Answers one request from the address `peer`. A refusal becomes a response as well.
     pub async fn serve(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         peer: SocketAddr,
     ) -> Response<AnswerBody> {
         let arrived_at = Instant::now();
@@ -187,7 +186,7 @@
 
     fn serve_well_known(
         &self,
-        request: &Request<Incoming>,
+        request: &Request<CallerBody>,
         peer: SocketAddr,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let query = request.uri().query().unwrap_or_default();
@@ -205,7 +204,7 @@
 
     fn issue_ticket(
         &self,
-        request: &Request<Incoming>,
+        request: &Request<CallerBody>,
         service: &str,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let state = self.cell.load();
@@ -228,7 +227,7 @@
 
     async fn proxy_request(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let state = self.cell.load();
         let (plan, active) = self.authorize_request(&state, &request).map_err(|refusal| {
@@ -239,7 +238,7 @@
             }
         })?;
         let dedup_key = dedup_key(&plan, &request)?;
-        let (head, body) = CallerBody::split_request(request);
+        let (head, body) = request.into_parts();
         let limit = plan.route.max_body_bytes;
         let upload =
             ReplayableUpload::new(body, &self.buffers, limit, self.bounds.body_idle_timeout());
@@ -266,7 +265,7 @@
     fn authorize_request(
         &self,
         state: &ConfigurationState,
-        request: &Request<Incoming>,
+        request: &Request<CallerBody>,
     ) -> Result<(RequestPlan, Arc<ActiveGuard>), Refusal> {
         let plan = RequestPlan::from_request(state, request)?;
         plan.check_allowed(state, self.freshness.age(Instant::now()))?;
@@ -325,7 +324,7 @@
 
 /// Returns what identifies a repetition of the request: a ticket on any route, an `Idempotency-Key` on non-repeatable
 /// routes.
-fn dedup_key(plan: &RequestPlan, request: &Request<Incoming>) -> Result<DedupKey, Refusal> {
+fn dedup_key(plan: &RequestPlan, request: &Request<CallerBody>) -> Result<DedupKey, Refusal> {
     let header_text = |name| request.headers().get(name).map(HeaderValue::to_str);
     match (header_text(TICKET_HEADER), header_text(IDEMPOTENCY_HEADER)) {
         (Some(Ok(ticket)), _) => Ok(DedupKey::Ticket(ticket.into())),
--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -3,15 +3,16 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::task::Poll;
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::future::BoxFuture;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -32,12 +33,16 @@
 use indexmap::IndexMap;
 use spdlog::debug;
 use spdlog::warn;
+use tokio::io::AsyncRead;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_rustls::TlsAcceptor;
 
+use crate::callers::CallerBody;
+use crate::callers::ConnectionRequests;
+use crate::callers::ReadAhead;
 use crate::callers::SharedStream;
 use crate::callers::StallGuard;
 use crate::settings::CallerBounds;
@@ -48,6 +53,9 @@
 /// Time to receive requests that are under way on the connections accepted last, before the connections are shut
 /// down.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// Input of a connection that is read before the HTTP server asks for it, beyond the server's own buffer. Many small requests
+/// fit, and thousands of connections do on the smallest host.
+const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// Phase of a server on its way to shutdown; the phases follow each other in this order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -97,7 +105,7 @@
     /// connection has ended.
     pub async fn run<H, F, B>(self, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body + Send + 'static,
         B::Data: Send,
@@ -136,7 +144,7 @@
         peer: SocketAddr,
         handler: H,
     ) where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body + Send + 'static,
         B::Data: Send,
@@ -156,14 +164,14 @@
                 Ok(stream) => stream,
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
-            let stream = SharedStream::new(StallGuard::new(stream, answer_idle));
-            let has_request = Arc::new(AtomicBool::new(false));
+            let stream = StallGuard::new(stream, answer_idle);
+            let stream = SharedStream::new(ReadAhead::new(stream, MAX_READ_AHEAD_BYTES));
+            let requests = ConnectionRequests::default();
             let service =
-                connection_service(handler, peer, phase.clone(), Arc::clone(&has_request));
+                connection_service(handler, peer, phase.clone(), requests.clone(), stream.clone());
             let io = TokioIo::new(stream.clone());
             let connection = builder.serve_connection(io, service_fn(service));
-            let missing_request = wait_for_missing_request(&has_request, head_timeout);
-            serve_connection(connection, phase, missing_request).await;
+            serve_connection(connection, phase, &requests, &stream, head_timeout).await;
             stream.close().await;
         });
     }
@@ -210,47 +218,94 @@
 }
 
 /// Serves a connection until it ends or lacks its first request. Once the server closes, no further request is read.
-async fn serve_connection<I, S, B>(
-    connection: Connection<'_, I, S, TokioExecutor>,
+async fn serve_connection<C, S, V, B>(
+    connection: Connection<'_, C, V, TokioExecutor>,
     mut phase: watch::Receiver<ServerPhase>,
-    missing_request: impl Future<Output = ()>,
+    requests: &ConnectionRequests,
+    stream: &SharedStream<ReadAhead<S>>,
+    head_timeout: Duration,
 ) where
-    S: Service<Request<Incoming>, Response = Response<B>>,
-    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    S::Future: 'static,
-    I: Read + Write + Unpin + 'static,
+    C: Read + Write + Unpin + 'static,
+    S: AsyncRead + Unpin,
+    V: Service<Request<Incoming>, Response = Response<B>>,
+    V::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    V::Future: 'static,
     B: Body + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    TokioExecutor: HttpServerConnExec<S::Future, B>,
+    TokioExecutor: HttpServerConnExec<V::Future, B>,
 {
     let mut connection = pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
-        () = missing_request => return,
+        () = drive_connection(connection.as_mut(), requests, stream) => return,
+        () = wait_for_missing_request(requests, head_timeout) => return,
         () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    drive_connection(connection, requests, stream).await;
 }
 
-fn connection_service<H, F, B>(
+/// Polls the HTTP server, and reads ahead while it waits for an answer, as it does not read itself while it holds a part of a
+/// further request. Returns when the connection ends, or its peer has left without the answer.
+async fn drive_connection<C: Future, S: AsyncRead + Unpin>(
+    mut connection: Pin<&mut C>,
+    requests: &ConnectionRequests,
+    stream: &SharedStream<ReadAhead<S>>,
+) {
+    std::future::poll_fn(|context| {
+        loop {
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+            if !requests.is_waiting() {
+                return Poll::Pending;
+            }
+            let mut stream = stream.lock();
+            let has_read = stream.fill(context);
+            if stream.has_ended() {
+                return Poll::Ready(());
+            }
+            // The HTTP server may have asked for these bytes, and is woken by the stream only.
+            if !has_read {
+                return Poll::Pending;
+            }
+        }
+    })
+    .await;
+}
+
+fn connection_service<H, F, S, B>(
     handler: H,
     peer: SocketAddr,
     phase: watch::Receiver<ServerPhase>,
-    has_request: Arc<AtomicBool>,
-) -> impl Fn(Request<Incoming>) -> futures::future::BoxFuture<'static, Result<Response<B>, Infallible>>
+    requests: ConnectionRequests,
+    stream: SharedStream<ReadAhead<S>>,
+) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, Result<Response<B>, Infallible>>
 where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Send + 'static,
 {
     move |request| {
-        has_request.store(true, Ordering::Relaxed);
+        requests.record_begin();
+        let request = CallerBody::wrap_request(request);
+        if request.version() > Version::HTTP_11 {
+            return handler(request, peer).map(Ok).boxed();
+        }
+        let open = requests.open_request();
+        let request = request.map(|body| body.with_progress(Arc::clone(open.progress())));
+        if request.body().is_end_stream() && stream.lock().has_ended() {
+            // The caller has left; the connection ends when the server next waits.
+            return async move {
+                let _open = open;
+                std::future::pending().await
+            }
+            .boxed();
+        }
         let phase = phase.clone();
-        let is_http1 = request.version() <= Version::HTTP_11;
         let answer = handler(request, peer);
         async move {
+            let _open = open;
             let mut response = answer.await;
-            if is_http1 && *phase.borrow() >= ServerPhase::Leaving {
+            if *phase.borrow() >= ServerPhase::Leaving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -261,9 +316,9 @@
 }
 
 /// Returns after `head_timeout` if no request has arrived on the connection by then; otherwise it never returns.
-async fn wait_for_missing_request(has_request: &AtomicBool, head_timeout: Duration) {
+async fn wait_for_missing_request(requests: &ConnectionRequests, head_timeout: Duration) {
     tokio::time::sleep(head_timeout).await;
-    if has_request.load(Ordering::Relaxed) {
+    if requests.has_begun() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/buckthornturn/src/callers/request_plan.rs
+++ b/crates/buckthornturn/src/callers/request_plan.rs
@@ -14,8 +14,8 @@
 use http::Version;
 use http::header;
 use http::request::Parts;
-use hyper::body::Incoming;
 
+use crate::callers::CallerBody;
 use crate::callers::CallerPermission;
 use crate::callers::KeyCheck;
 use crate::callers::KeyRedactor;
@@ -67,7 +67,7 @@
     /// Returns the refusal; the request has not run.
     pub fn from_request(
         state: &ConfigurationState,
-        request: &Request<Incoming>,
+        request: &Request<CallerBody>,
     ) -> Result<Self, Refusal> {
         if state.revision == 0 {
             return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-configuration")
--- a/crates/buckthornturn/src/entry/proxy_peers.rs
+++ b/crates/buckthornturn/src/entry/proxy_peers.rs
@@ -3,9 +3,9 @@
 use coordination::fleet::ConfigurationPosition;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use crate::callers::AnswerBody;
+use crate::callers::CallerBody;
 use crate::callers::Refusal;
 use crate::entry::OutgoingRequest;
 use crate::entry::ProxyService;
@@ -55,7 +55,7 @@
     /// time that the peer checked the request against.
     pub(super) async fn serve_for_peer(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         position: ConfigurationPosition,
     ) -> Response<AnswerBody> {
         let refusal = match self.state.lock().reach.is_lost() {
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -14,7 +14,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use spdlog::info;
 
 use crate::callers::AnswerBody;
@@ -86,7 +85,7 @@
     /// Serves one request and logs its end. The answer is the target's, or a refusal with its reason.
     pub async fn serve(
         &self,
-        mut request: Request<Incoming>,
+        mut request: Request<CallerBody>,
         _peer: SocketAddr,
     ) -> Response<AnswerBody> {
         match take_peer_position(request.headers_mut()) {
@@ -97,7 +96,7 @@
 
     pub(super) async fn serve_request(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         is_forwarded: bool,
     ) -> Response<AnswerBody> {
         let Some(configuration) = self.state.configuration() else {
@@ -107,7 +106,7 @@
         let limit = configuration.limits.max_body_bytes;
         let facts = RequestFacts::from_request(configuration, &*self.dialect, &request);
         let is_upgrade = requests_upgrade(&request);
-        let (head, body) = CallerBody::split_request(request);
+        let (head, body) = request.into_parts();
         let upload = ReplayableUpload::new(body, self.state.buffers(), limit, BODY_IDLE_TIMEOUT);
         let facts = match facts {
             Ok(facts) if !is_upgrade => facts,
