Callers: run idempotent requests of a connection side by side

Requests that a caller sent ahead ran one after another, so that the second was late whatever the host did.

A scanner finds the heads in the input with the parser of the HTTP library, and ends for the connection at any framing that is not stated once and plainly. GET and HEAD without a body on idempotent routes start early, at most 8 of a connection (bounds.side_by_side_requests) and none while finished answers of 512 KiB wait; coordination/src/pipeline_window.rs decides. The library answers in order; an early answer goes only to a request with the same method, URI and headers. Deadline and objective count from the arrival, so a request that waited past its deadline is refused as not run.

--- a/crates/buckthornturn/src/callers/caller_body.rs
+++ b/crates/buckthornturn/src/callers/caller_body.rs
@@ -37,6 +37,11 @@
         request.map(|incoming| Self { incoming: Some(incoming), is_http2, progress: None })
     }
 
+    /// Body of a request without one.
+    pub fn empty() -> Self {
+        Self { incoming: None, is_http2: false, progress: None }
+    }
+
     /// Sets where the end of the body is recorded.
     pub fn with_progress(self, progress: Arc<RequestProgress>) -> Self {
         if self.is_end_stream() {
--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -1,39 +1,24 @@
 //! Accepts connections and serves the requests on them until the host shuts down.
 
-use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::task::Poll;
 use std::time::Duration;
 
+use coordination::pipeline_window::PipelineBounds;
 use futures::FutureExt;
-use futures::future::BoxFuture;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::Version;
-use http::header;
 use hyper::body::Body;
-use hyper::body::Incoming;
-use hyper::rt::Read;
-use hyper::rt::Write;
-use hyper::service::Service;
-use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::conn::auto::Connection;
-use hyper_util::server::conn::auto::HttpServerConnExec;
 use indexmap::IndexMap;
 use spdlog::debug;
 use spdlog::warn;
-use tokio::io::AsyncRead;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -41,21 +26,16 @@
 use tokio_rustls::TlsAcceptor;
 
 use crate::callers::CallerBody;
-use crate::callers::ConnectionRequests;
-use crate::callers::ReadAhead;
-use crate::callers::SharedStream;
+use crate::callers::ConnectionTask;
+use crate::callers::HeadBounds;
+use crate::callers::IndependenceCheck;
+use crate::callers::Pipelining;
 use crate::callers::StallGuard;
 use crate::settings::CallerBounds;
 use crate::tls::accept_tls;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time to receive requests that are under way on the connections accepted last, before the connections are shut
-/// down.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
-/// Input of a connection that is read before the HTTP server asks for it, beyond the server's own buffer. Many small requests
-/// fit, and thousands of connections do on the smallest host.
-const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// Phase of a server on its way to shutdown; the phases follow each other in this order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -76,6 +56,7 @@
     builder: Builder<TokioExecutor>,
     counts: ConnectionCounts,
     tls: Option<TlsAcceptor>,
+    pipelining: Option<Pipelining>,
 }
 
 type ConnectionCounts = Arc<Mutex<IndexMap<IpAddr, usize>>>;
@@ -93,7 +74,15 @@
         phase: watch::Receiver<ServerPhase>,
     ) -> Self {
         let builder = server_builder(&bounds);
-        Self { listener, bounds, phase, builder, counts: ConnectionCounts::default(), tls: None }
+        Self {
+            listener,
+            bounds,
+            phase,
+            builder,
+            counts: ConnectionCounts::default(),
+            tls: None,
+            pipelining: None,
+        }
     }
 
     /// Sets the TLS acceptor; with `None` the server accepts unencrypted connections.
@@ -101,6 +90,15 @@
         Self { tls, ..self }
     }
 
+    /// Sets which requests of an HTTP/1 connection run side by side; without it they run one after another.
+    pub fn with_pipelining(self, bounds: PipelineBounds, check: IndependenceCheck) -> Self {
+        let heads = HeadBounds {
+            max_bytes: self.bounds.max_head_bytes as usize,
+            max_headers: self.bounds.max_headers,
+        };
+        Self { pipelining: Some(Pipelining { bounds, heads, check }), ..self }
+    }
+
     /// Passes each request with the caller's address to `handler`. Returns once the phase is `Closing` and the last
     /// connection has ended.
     pub async fn run<H, F, B>(self, handler: H)
@@ -157,7 +155,7 @@
         let _ = stream.set_nodelay(true);
         let (tls, answer_idle) = (self.tls.clone(), self.bounds.answer_idle_timeout());
         let (builder, phase) = (self.builder.clone(), self.phase.clone());
-        let head_timeout = self.bounds.head_timeout();
+        let (head_timeout, pipelining) = (self.bounds.head_timeout(), self.pipelining.clone());
         connections.spawn(async move {
             let _guard = guard;
             let stream = match accept_tls(tls.as_ref(), stream).await {
@@ -165,14 +163,8 @@
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
             let stream = StallGuard::new(stream, answer_idle);
-            let stream = SharedStream::new(ReadAhead::new(stream, MAX_READ_AHEAD_BYTES));
-            let requests = ConnectionRequests::default();
-            let service =
-                connection_service(handler, peer, phase.clone(), requests.clone(), stream.clone());
-            let io = TokioIo::new(stream.clone());
-            let connection = builder.serve_connection(io, service_fn(service));
-            serve_connection(connection, phase, &requests, &stream, head_timeout).await;
-            stream.close().await;
+            let task = ConnectionTask::new(stream, pipelining.as_ref(), handler, peer, phase);
+            task.run(&builder, head_timeout).await;
         });
     }
 
@@ -217,117 +209,6 @@
     builder
 }
 
-/// Serves a connection until it ends or lacks its first request. Once the server closes, no further request is read.
-async fn serve_connection<C, S, V, B>(
-    connection: Connection<'_, C, V, TokioExecutor>,
-    mut phase: watch::Receiver<ServerPhase>,
-    requests: &ConnectionRequests,
-    stream: &SharedStream<ReadAhead<S>>,
-    head_timeout: Duration,
-) where
-    C: Read + Write + Unpin + 'static,
-    S: AsyncRead + Unpin,
-    V: Service<Request<Incoming>, Response = Response<B>>,
-    V::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    V::Future: 'static,
-    B: Body + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    TokioExecutor: HttpServerConnExec<V::Future, B>,
-{
-    let mut connection = pin!(connection);
-    tokio::select! {
-        () = drive_connection(connection.as_mut(), requests, stream) => return,
-        () = wait_for_missing_request(requests, head_timeout) => return,
-        () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
-    }
-    drive_connection(connection, requests, stream).await;
-}
-
-/// Polls the HTTP server, and reads ahead while it waits for an answer, as it does not read itself while it holds a part of a
-/// further request. Returns when the connection ends, or its peer has left without the answer.
-async fn drive_connection<C: Future, S: AsyncRead + Unpin>(
-    mut connection: Pin<&mut C>,
-    requests: &ConnectionRequests,
-    stream: &SharedStream<ReadAhead<S>>,
-) {
-    std::future::poll_fn(|context| {
-        loop {
-            if connection.as_mut().poll(context).is_ready() {
-                return Poll::Ready(());
-            }
-            if !requests.is_waiting() {
-                return Poll::Pending;
-            }
-            let mut stream = stream.lock();
-            let has_read = stream.fill(context);
-            if stream.has_ended() {
-                return Poll::Ready(());
-            }
-            // The HTTP server may have asked for these bytes, and is woken by the stream only.
-            if !has_read {
-                return Poll::Pending;
-            }
-        }
-    })
-    .await;
-}
-
-fn connection_service<H, F, S, B>(
-    handler: H,
-    peer: SocketAddr,
-    phase: watch::Receiver<ServerPhase>,
-    requests: ConnectionRequests,
-    stream: SharedStream<ReadAhead<S>>,
-) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, Result<Response<B>, Infallible>>
-where
-    H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: Send + 'static,
-{
-    move |request| {
-        requests.record_begin();
-        let request = CallerBody::wrap_request(request);
-        if request.version() > Version::HTTP_11 {
-            return handler(request, peer).map(Ok).boxed();
-        }
-        let open = requests.open_request();
-        let request = request.map(|body| body.with_progress(Arc::clone(open.progress())));
-        if request.body().is_end_stream() && stream.lock().has_ended() {
-            // The caller has left; the connection ends when the server next waits.
-            return async move {
-                let _open = open;
-                std::future::pending().await
-            }
-            .boxed();
-        }
-        let phase = phase.clone();
-        let answer = handler(request, peer);
-        async move {
-            let _open = open;
-            let mut response = answer.await;
-            if *phase.borrow() >= ServerPhase::Leaving {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok(response)
-        }
-        .boxed()
-    }
-}
-
-/// Returns after `head_timeout` if no request has arrived on the connection by then; otherwise it never returns.
-async fn wait_for_missing_request(requests: &ConnectionRequests, head_timeout: Duration) {
-    tokio::time::sleep(head_timeout).await;
-    if requests.has_begun() {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn wait_until_closing(phase: &mut watch::Receiver<ServerPhase>) {
+pub(super) async fn wait_until_closing(phase: &mut watch::Receiver<ServerPhase>) {
     let _ = phase.wait_for(|phase| *phase == ServerPhase::Closing).await;
 }
-
-async fn wait_until_settled(phase: &mut watch::Receiver<ServerPhase>) {
-    wait_until_closing(phase).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-}
--- a/crates/buckthornturn/src/callers/read_ahead.rs
+++ b/crates/buckthornturn/src/callers/read_ahead.rs
@@ -13,6 +13,8 @@
 use tokio::io::ReadBuf;
 use tokio_util::io::poll_read_buf;
 
+use crate::callers::HeadScanner;
+
 /// Room that is made in the buffer before each read.
 const READ_BYTES: usize = 4 << 10;
 
@@ -21,14 +23,20 @@
     stream: S,
     buffer: BytesMut,
     max_bytes: usize,
+    scanner: HeadScanner,
     has_ended: bool,
     fault: Option<io::Error>,
 }
 
 impl<S> ReadAhead<S> {
-    /// Wraps a stream; up to `max_bytes` are read ahead.
-    pub fn new(stream: S, max_bytes: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), max_bytes, has_ended: false, fault: None }
+    /// Wraps a stream; up to `max_bytes` are read ahead. All input is also passed to the scanner, as it is read.
+    pub fn new(stream: S, max_bytes: usize, scanner: HeadScanner) -> Self {
+        Self { stream, buffer: BytesMut::new(), max_bytes, scanner, has_ended: false, fault: None }
+    }
+
+    /// Scanner of the input.
+    pub fn scanner(&mut self) -> &mut HeadScanner {
+        &mut self.scanner
     }
 
     /// Whether the peer has ended its side, or the connection has failed.
@@ -46,7 +54,10 @@
             self.buffer.reserve(READ_BYTES);
             match poll_read_buf(Pin::new(&mut self.stream), context, &mut self.buffer) {
                 Poll::Ready(Ok(0)) => self.has_ended = true,
-                Poll::Ready(Ok(_)) => has_read = true,
+                Poll::Ready(Ok(bytes)) => {
+                    has_read = true;
+                    self.scanner.add(&self.buffer[self.buffer.len() - bytes..]);
+                }
                 Poll::Ready(Err(error)) => (self.has_ended, self.fault) = (true, Some(error)),
                 Poll::Pending => break,
             }
@@ -64,6 +75,7 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.scanner.add(&buffer.filled()[filled..]);
         self.has_ended = match &poll {
             Poll::Ready(Ok(())) => buffer.filled().len() == filled && buffer.remaining() > 0,
             Poll::Ready(Err(_)) => true,
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use coordination::fleet::RequestFingerprint;
+use coordination::pipeline_window::PipelineBounds;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -26,6 +27,7 @@
 use tokio::task::JoinSet;
 
 use crate::callers::ConnectionServer;
+use crate::callers::IndependenceCheck;
 use crate::callers::ServerPhase;
 use crate::callers::TargetPool;
 use crate::entry::CatchUpReader;
@@ -66,6 +68,10 @@
 /// limit of the smallest host.
 const MAX_CALLER_CONNECTIONS: usize = 3_000;
 
+/// Size of finished answers that wait for earlier ones on their connection, from which on no further request of it starts early.
+/// With the last answers started this bounds a connection to about three answers of the largest size that is buffered.
+const MAX_HELD_ANSWER_BYTES: u64 = 512 << 10;
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Adapters to the platform that an entry host runs on.
@@ -212,7 +218,13 @@
         ..CallerBounds::default()
     };
     let proxy = Arc::new(proxy);
-    let server = ConnectionServer::new(listener, bounds, phase);
+    let pipelining = PipelineBounds {
+        max_side_by_side: proxy.side_by_side_requests(),
+        max_held_bytes: MAX_HELD_ANSWER_BYTES,
+    };
+    let check = Arc::clone(&proxy);
+    let check: IndependenceCheck = Arc::new(move |request| check.is_independent(request));
+    let server = ConnectionServer::new(listener, bounds, phase).with_pipelining(pipelining, check);
     tokio::spawn(server.run(move |request, peer| {
         let proxy = Arc::clone(&proxy);
         async move { proxy.serve(request, peer).await }
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -23,6 +23,7 @@
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
+use crate::callers::named_host;
 use crate::entry::AttemptGuard;
 use crate::entry::AttemptResult;
 use crate::entry::AttemptRunner;
@@ -94,6 +95,21 @@
         }
     }
 
+    /// Largest number of requests of one connection that run side by side.
+    pub fn side_by_side_requests(&self) -> usize {
+        self.state.bounds().side_by_side_requests.max(1)
+    }
+
+    /// Whether a request without a body may run beside others of its connection: only on routes that allow repeats.
+    pub fn is_independent(&self, request: &Request<()>) -> bool {
+        let Some(configuration) = self.state.configuration() else { return false };
+        let host = named_host(request);
+        let route = host.and_then(|host| {
+            configuration.route_for(&host, request.uri().path()).map(|route| route.is_repeatable)
+        });
+        route == Some(true)
+    }
+
     pub(super) async fn serve_request(
         &self,
         request: Request<CallerBody>,
@@ -169,6 +185,10 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let service = self.draw_service(request)?;
         record.service = Some(service.clone());
+        // A request that has waited behind others of its connection may be past its deadline.
+        if request.facts.time_left().is_zero() {
+            return Err(timeout_refusal(request.dispatches()));
+        }
         let deadline = request.facts.deadline();
         let work = self.try_targets(request, &service, record);
         match tokio::time::timeout_at(deadline.into(), work).await {
--- a/crates/buckthornturn/src/entry/request_facts.rs
+++ b/crates/buckthornturn/src/entry/request_facts.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http::header;
 
+use crate::callers::ArrivalTime;
 use crate::callers::Refusal;
 use crate::callers::content_length;
 use crate::callers::named_host;
@@ -85,7 +86,7 @@
             object_hash: object_hash(&facts, &route),
             regions: common_regions(&route.regions, regions),
             priority: settings.and_then(|settings| settings.priority).unwrap_or(route.priority),
-            arrived_at: Instant::now(),
+            arrived_at: arrival_time(request),
             caller_timeout: facts.time_left.unwrap_or(route.timeout),
             route,
             configuration,
@@ -122,6 +123,11 @@
     Some(rendezvous_score(&[&route.name, object]))
 }
 
+/// Time at which the request was read from its connection, where it may have waited behind others.
+fn arrival_time<B>(request: &Request<B>) -> Instant {
+    request.extensions().get().map_or_else(Instant::now, |ArrivalTime(time)| *time)
+}
+
 fn bad_request(reason: &'static str) -> Refusal {
     Refusal::not_run(StatusCode::BAD_REQUEST, reason)
 }
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -90,6 +90,9 @@
     pub look_up_life_seconds: f64,
     /// Time from the termination signal until the platform kills the process, in seconds.
     pub shutdown_seconds: f64,
+    /// Largest number of requests of one caller's connection that run side by side; 1 serves them one after another.
+    #[serde(default = "default_side_by_side_requests")]
+    pub side_by_side_requests: usize,
 }
 
 /// Default of one retry in a window for each of many hosts, for settings that do not give the slack.
@@ -97,6 +100,11 @@
     60.0
 }
 
+/// Default of eight, as callers send few requests ahead.
+fn default_side_by_side_requests() -> usize {
+    8
+}
+
 impl EntryBounds {
     /// Budget of retries that all hosts share.
     pub fn retry_budget(&self) -> FleetBudget {
--- a/crates/buckthornturn/tests/pipelined_requests.rs
+++ b/crates/buckthornturn/tests/pipelined_requests.rs
@@ -11,9 +11,12 @@
 use buckthornturn::callers::ServerPhase;
 use buckthornturn::settings::CallerBounds;
 use bytes::Bytes;
+use coordination::pipeline_window::PipelineBounds;
+use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -24,11 +27,19 @@
 /// Time after which a caller that has left must be noticed.
 const LEAVE_SLACK: Duration = Duration::from_millis(400);
 
+/// Largest number of requests of a connection that run side by side.
+const SIDE_BY_SIDE: usize = 4;
+/// Answers of which one is held at a time while the ones ahead are in progress.
+const LARGE_ANSWER_BYTES: usize = 100_000;
+const MAX_HELD_BYTES: u64 = 100_000;
+const WORK_HEADER: &str = "work-ms";
+
 /// Paths of the requests that the server has begun, and of those that it has dropped or answered.
 #[derive(Clone, Default)]
 struct Journal {
     begun: Arc<Mutex<Vec<String>>>,
     ended: Arc<Mutex<Vec<String>>>,
+    most_running: Arc<Mutex<usize>>,
 }
 
 /// Records the end of a request when it is dropped.
@@ -37,39 +48,77 @@
     journal: Journal,
 }
 
+impl Journal {
+    fn begin(&self, path: &str) -> EndRecord {
+        let mut begun = self.begun.lock().unwrap();
+        begun.push(path.to_owned());
+        let running = begun.len() - self.ended.lock().unwrap().len();
+        let mut most = self.most_running.lock().unwrap();
+        *most = running.max(*most);
+        EndRecord { path: path.to_owned(), journal: self.clone() }
+    }
+
+    fn begun(&self) -> Vec<String> {
+        self.begun.lock().unwrap().clone()
+    }
+
+    fn ended(&self) -> Vec<String> {
+        let mut ended = self.ended.lock().unwrap().clone();
+        ended.sort();
+        ended
+    }
+}
+
 impl Drop for EndRecord {
     fn drop(&mut self) {
         self.journal.ended.lock().unwrap().push(self.path.clone());
     }
 }
 
-async fn start_server(phase: &watch::Sender<ServerPhase>, journal: &Journal) -> SocketAddr {
+/// Starts a server whose requests run one after another, or side by side where that is allowed. Paths below `/once` are not
+/// idempotent; those below `/large` have large answers.
+async fn start_server(
+    phase: &watch::Sender<ServerPhase>,
+    journal: &Journal,
+    is_pipelining: bool,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let server = ConnectionServer::new(listener, CallerBounds::default(), phase.subscribe());
+    let mut server = ConnectionServer::new(listener, CallerBounds::default(), phase.subscribe());
+    if is_pipelining {
+        let bounds =
+            PipelineBounds { max_side_by_side: SIDE_BY_SIDE, max_held_bytes: MAX_HELD_BYTES };
+        let check = Arc::new(|head: &Request<()>| !head.uri().path().starts_with("/once"));
+        server = server.with_pipelining(bounds, check);
+    }
     let journal = journal.clone();
     tokio::spawn(server.run(move |request, _| {
         let journal = journal.clone();
         async move {
             let path = request.uri().path().to_owned();
-            journal.begun.lock().unwrap().push(path.clone());
-            let _end = EndRecord { path: path.clone(), journal };
+            let _end = journal.begin(&path);
+            let work = request.headers().get(WORK_HEADER).map(|value| value.to_str().unwrap());
+            let work = work.map(|text| Duration::from_millis(text.parse().unwrap()));
             let _ = request.into_body().collect().await;
-            tokio::time::sleep(WORK_TIME).await;
-            Response::new(Full::new(Bytes::from(path)))
+            tokio::time::sleep(work.unwrap_or(WORK_TIME)).await;
+            let text = match path.starts_with("/large") {
+                true => path + &" ".repeat(LARGE_ANSWER_BYTES),
+                false => path,
+            };
+            Response::new(Full::new(Bytes::from(text)))
         }
     }));
     address
 }
 
 macro_rules! leaving_caller_cases {
-    ($($name:ident: [$($text:expr),*], begun $begun:expr;)*) => {
+    ($($name:ident: [$($text:expr),*], pipelining $is_pipelining:expr, begun $begun:expr;)*) => {
         $(
             /// Guards against requests that run after their caller has left, behind input that the HTTP library holds.
             #[tokio::test]
             async fn $name() {
                 let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
-                let address = start_server(&phase, &journal).await;
+                let address = start_server(&phase, &journal, $is_pipelining).await;
                 let mut stream = TcpStream::connect(address).await.unwrap();
                 for text in [$($text),*] {
                     stream.write_all(text.as_bytes()).await.unwrap();
@@ -78,10 +127,10 @@
                 drop(stream);
                 tokio::time::sleep(LEAVE_SLACK).await;
                 let begun: &[&str] = &$begun;
-                assert_eq!(*journal.begun.lock().unwrap(), begun);
-                assert_eq!(*journal.ended.lock().unwrap(), begun);
+                assert_eq!(journal.begun(), begun);
+                assert_eq!(journal.ended(), begun);
                 tokio::time::sleep(WORK_TIME).await;
-                assert_eq!(*journal.begun.lock().unwrap(), begun);
+                assert_eq!(journal.begun(), begun);
             }
         )*
     };
@@ -95,10 +144,109 @@
     "POST /1 HTTP/1.1\r\nhost: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
 
 leaving_caller_cases! {
-    caller_with_one_request: [GET_1], begun ["/1"];
-    caller_with_a_second_request: [GET_1, GET_2], begun ["/1"];
-    caller_with_a_third_request: [GET_1, GET_2, GET_3], begun ["/1"];
-    caller_with_a_request_behind_a_body: [POST_1, GET_2, GET_3], begun ["/1"];
-    caller_with_a_request_behind_a_chunked_body: [CHUNKED_1, GET_2, GET_3], begun ["/1"];
-    caller_with_a_part_of_a_request: [GET_1, "GET /2"], begun ["/1"];
+    caller_with_one_request: [GET_1], pipelining false, begun ["/1"];
+    caller_with_a_second_request: [GET_1, GET_2], pipelining false, begun ["/1"];
+    caller_with_a_third_request: [GET_1, GET_2, GET_3], pipelining false, begun ["/1"];
+    caller_with_a_request_behind_a_body: [POST_1, GET_2, GET_3], pipelining false, begun ["/1"];
+    caller_with_a_request_behind_a_chunked_body: [CHUNKED_1, GET_2, GET_3], pipelining false, begun ["/1"];
+    caller_with_requests_that_run_side_by_side: [GET_1, GET_2, GET_3], pipelining true, begun ["/1", "/2", "/3"];
+    caller_with_requests_behind_a_body: [POST_1, GET_2, GET_3], pipelining true, begun ["/1"];
+    caller_with_a_part_of_a_request: [GET_1, "GET /2"], pipelining false, begun ["/1"];
+}
+
+/// Request that takes `work_ms`.
+fn get(path: &str, work_ms: u64) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: s\r\n{WORK_HEADER}: {work_ms}\r\n\r\n")
+}
+
+fn post(path: &str, work_ms: u64) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: s\r\n{WORK_HEADER}: {work_ms}\r\ncontent-length: 4\r\n\r\nbody"
+    )
+}
+
+/// Reads answers until the connection ends or `count` are whole; returns their bodies without padding.
+async fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    let (mut input, mut bodies) = (Vec::new(), Vec::new());
+    while bodies.len() < count {
+        let Some(end) = input.windows(4).position(|part| part == b"\r\n\r\n") else {
+            match stream.read_buf(&mut input).await.unwrap() {
+                0 => break,
+                _ => continue,
+            }
+        };
+        let head = String::from_utf8(input[..end].to_vec()).unwrap();
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")).unwrap();
+        let whole = end + 4 + length.parse::<usize>().unwrap();
+        while input.len() < whole {
+            assert_ne!(stream.read_buf(&mut input).await.unwrap(), 0, "an answer is cut");
+        }
+        bodies.push(String::from_utf8(input[end + 4..whole].to_vec()).unwrap().trim().to_owned());
+        input.drain(..whole);
+    }
+    bodies
+}
+
+macro_rules! pipelining_cases {
+    ($($name:ident: $requests:expr => begun $begun:expr, running $running:expr;)*) => {
+        $(
+            /// Guards against answers out of order, and requests that run beside others without leave.
+            #[tokio::test]
+            async fn $name() {
+                let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
+                let address = start_server(&phase, &journal, true).await;
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                let requests: Vec<String> = $requests.into_iter().collect();
+                stream.write_all(requests.concat().as_bytes()).await.unwrap();
+                tokio::time::sleep(LEAVE_SLACK).await;
+                assert_eq!(journal.begun().len(), $begun);
+                let paths: Vec<&str> =
+                    requests.iter().map(|text| text.split(' ').nth(1).unwrap()).collect();
+                assert_eq!(read_answers(&mut stream, requests.len()).await, paths);
+                assert_eq!(*journal.most_running.lock().unwrap(), $running);
+            }
+        )*
+    };
+}
+
+pipelining_cases! {
+    requests_run_side_by_side: (0..3).map(|number| get(&format!("/{number}"), 600)) => begun 3, running 3;
+    later_answers_wait_for_earlier_ones: [get("/1", 800), get("/2", 20), get("/3", 200)] => begun 3, running 3;
+    at_most_the_bound_runs_at_once: (0..12).map(|number| get(&format!("/{number}"), 600)) => begun 4, running 4;
+    answered_requests_count_until_their_turn: [get("/1", 600), get("/2", 10), get("/3", 10), get("/4", 10), get("/5", 10)] => begun 4, running 4;
+    requests_that_are_not_idempotent_run_alone: [get("/1", 500), get("/once/2", 100), get("/3", 100)] => begun 1, running 1;
+    requests_with_a_body_run_alone: [post("/1", 500), get("/2", 100), get("/3", 100)] => begun 1, running 2;
+    requests_behind_a_body_wait: [get("/1", 500), post("/2", 100), get("/3", 100)] => begun 1, running 1;
+    equal_requests_are_all_answered: [get("/1", 500), get("/1", 500), get("/1", 500)] => begun 3, running 3;
+    large_answers_are_whole: [get("/1", 900), get("/large/2", 10), get("/3", 600), get("/4", 10), get("/5", 10)] => begun 4, running 4;
+    requests_behind_a_chunked_body_run_alone: [CHUNKED_1.to_owned(), get("/2", 10), get("/3", 10)] => begun 1, running 1;
+}
+
+/// Guards against requests that start although large answers wait for their turn.
+#[tokio::test]
+async fn no_request_starts_while_answers_of_the_largest_size_wait() {
+    let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
+    let address = start_server(&phase, &journal, true).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all((get("/1", 800) + &get("/large/2", 10)).as_bytes()).await.unwrap();
+    tokio::time::sleep(LEAVE_SLACK / 2).await;
+    stream.write_all(get("/3", 10).as_bytes()).await.unwrap();
+    tokio::time::sleep(LEAVE_SLACK / 2).await;
+    assert_eq!(journal.begun(), ["/1", "/large/2"]);
+    assert_eq!(read_answers(&mut stream, 3).await, ["/1", "/large/2", "/3"]);
+}
+
+/// Guards against requests behind the last answer that run on, and against one of them that gets another one's answer.
+#[tokio::test]
+async fn requests_behind_an_answer_that_closes_the_connection_are_cancelled() {
+    let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
+    let address = start_server(&phase, &journal, true).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let requests = get("/1", 300) + &get("/2", 3_000) + &get("/3", 3_000);
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    tokio::time::sleep(SEND_PAUSE).await;
+    phase.send_replace(ServerPhase::Leaving);
+    assert_eq!(read_answers(&mut stream, 3).await, ["/1"]);
+    assert_eq!(journal.begun(), ["/1", "/2", "/3"]);
+    assert_eq!(journal.ended(), ["/1", "/2", "/3"]);
 }
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod lost_links;
 mod outcomes;
 mod pauses;
+mod pipelines;
 mod raw_target;
 mod request_bytes;
 mod requests;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod member_view;
 pub mod outcome_table;
 pub mod pause_check;
+pub mod pipeline_window;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry_budget;
