--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -1,27 +1,19 @@
 //! Accepts connections and serves the requests on them until the host shuts down.
 
-use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coordination::pipeline_window::PipelineBounds;
 use futures::FutureExt;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::Version;
-use http::header;
 use hyper::body::Body;
-use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
 use indexmap::IndexMap;
@@ -33,15 +25,17 @@
 use tokio::task::JoinSet;
 use tokio_rustls::TlsAcceptor;
 
+use crate::callers::CallerBody;
+use crate::callers::ConnectionTask;
+use crate::callers::HeadBounds;
+use crate::callers::IndependenceCheck;
+use crate::callers::Pipelining;
 use crate::callers::StallGuard;
 use crate::settings::CallerBounds;
 use crate::tls::accept_tls;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time to receive requests that are under way on the connections accepted last, before the connections are shut
-/// down.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
 
 /// Phase of a server on its way to shutdown; the phases follow each other in this order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -62,6 +56,7 @@
     builder: Builder<TokioExecutor>,
     counts: ConnectionCounts,
     tls: Option<TlsAcceptor>,
+    pipelining: Option<Pipelining>,
 }
 
 type ConnectionCounts = Arc<Mutex<IndexMap<IpAddr, usize>>>;
@@ -79,7 +74,15 @@
         phase: watch::Receiver<ServerPhase>,
     ) -> Self {
         let builder = server_builder(&bounds);
-        Self { listener, bounds, phase, builder, counts: ConnectionCounts::default(), tls: None }
+        Self {
+            listener,
+            bounds,
+            phase,
+            builder,
+            counts: ConnectionCounts::default(),
+            tls: None,
+            pipelining: None,
+        }
     }
 
     /// Sets the TLS acceptor; with `None` the server accepts unencrypted connections.
@@ -87,11 +90,20 @@
         Self { tls, ..self }
     }
 
+    /// Sets which requests of an HTTP/1 connection run side by side; without it they run one after another.
+    pub fn with_pipelining(self, bounds: PipelineBounds, check: IndependenceCheck) -> Self {
+        let heads = HeadBounds {
+            max_bytes: self.bounds.max_head_bytes as usize,
+            max_headers: self.bounds.max_headers,
+        };
+        Self { pipelining: Some(Pipelining { bounds, heads, check }), ..self }
+    }
+
     /// Passes each request with the caller's address to `handler`. Returns once the phase is `Closing` and the last
     /// connection has ended.
     pub async fn run<H, F, B>(self, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body + Send + 'static,
         B::Data: Send,
@@ -130,7 +142,7 @@
         peer: SocketAddr,
         handler: H,
     ) where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<CallerBody>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body + Send + 'static,
         B::Data: Send,
@@ -143,25 +155,16 @@
         let _ = stream.set_nodelay(true);
         let (tls, answer_idle) = (self.tls.clone(), self.bounds.answer_idle_timeout());
         let (builder, phase) = (self.builder.clone(), self.phase.clone());
-        let head_timeout = self.bounds.head_timeout();
+        let (head_timeout, pipelining) = (self.bounds.head_timeout(), self.pipelining.clone());
         connections.spawn(async move {
             let _guard = guard;
             let stream = match accept_tls(tls.as_ref(), stream).await {
                 Ok(stream) => stream,
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
-            let io = TokioIo::new(StallGuard::new(stream, answer_idle));
-            let has_request = Arc::new(AtomicBool::new(false));
-            let service =
-                connection_service(handler, peer, phase.clone(), Arc::clone(&has_request));
-            let mut connection = pin!(builder.serve_connection(io, service_fn(service)));
-            let mut phase = phase;
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = wait_for_missing_request(&has_request, head_timeout) => return,
-                () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
-            }
-            let _ = connection.await;
+            let stream = StallGuard::new(stream, answer_idle);
+            let task = ConnectionTask::new(stream, pipelining.as_ref(), handler, peer, phase);
+            task.run(&builder, head_timeout).await;
         });
     }
 
@@ -206,47 +209,6 @@
     builder
 }
 
-fn connection_service<H, F, B>(
-    handler: H,
-    peer: SocketAddr,
-    phase: watch::Receiver<ServerPhase>,
-    has_request: Arc<AtomicBool>,
-) -> impl Fn(Request<Incoming>) -> futures::future::BoxFuture<'static, Result<Response<B>, Infallible>>
-where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: Send + 'static,
-{
-    move |request| {
-        has_request.store(true, Ordering::Relaxed);
-        let phase = phase.clone();
-        let is_http1 = request.version() <= Version::HTTP_11;
-        let answer = handler(request, peer);
-        async move {
-            let mut response = answer.await;
-            if is_http1 && *phase.borrow() >= ServerPhase::Leaving {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok(response)
-        }
-        .boxed()
-    }
-}
-
-/// Returns after `head_timeout` if no request has arrived on the connection by then; otherwise it never returns.
-async fn wait_for_missing_request(has_request: &AtomicBool, head_timeout: Duration) {
-    tokio::time::sleep(head_timeout).await;
-    if has_request.load(Ordering::Relaxed) {
-        std::future::pending::<()>().await;
-    }
-}
-
-async fn wait_until_closing(phase: &mut watch::Receiver<ServerPhase>) {
+pub(super) async fn wait_until_closing(phase: &mut watch::Receiver<ServerPhase>) {
     let _ = phase.wait_for(|phase| *phase == ServerPhase::Closing).await;
 }
-
-async fn wait_until_settled(phase: &mut watch::Receiver<ServerPhase>) {
-    wait_until_closing(phase).await;
-    tokio::time::sleep(SETTLE_TIME).await;
-}
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -14,7 +14,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use spdlog::info;
 
 use crate::callers::AnswerBody;
@@ -24,6 +23,7 @@
 use crate::callers::ReplayableUpload;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
+use crate::callers::named_host;
 use crate::entry::AttemptGuard;
 use crate::entry::AttemptResult;
 use crate::entry::AttemptRunner;
@@ -86,7 +86,7 @@
     /// Serves one request and logs its end. The answer is the target's, or a refusal with its reason.
     pub async fn serve(
         &self,
-        mut request: Request<Incoming>,
+        mut request: Request<CallerBody>,
         _peer: SocketAddr,
     ) -> Response<AnswerBody> {
         match take_peer_position(request.headers_mut()) {
@@ -95,9 +95,24 @@
         }
     }
 
+    /// Largest number of requests of one connection that run side by side.
+    pub fn side_by_side_requests(&self) -> usize {
+        self.state.bounds().side_by_side_requests.max(1)
+    }
+
+    /// Whether a request without a body may run beside others of its connection: only on routes that allow repeats.
+    pub fn is_independent(&self, request: &Request<()>) -> bool {
+        let Some(configuration) = self.state.configuration() else { return false };
+        let host = named_host(request);
+        let route = host.and_then(|host| {
+            configuration.route_for(&host, request.uri().path()).map(|route| route.is_repeatable)
+        });
+        route == Some(true)
+    }
+
     pub(super) async fn serve_request(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         is_forwarded: bool,
     ) -> Response<AnswerBody> {
         let Some(configuration) = self.state.configuration() else {
@@ -107,7 +122,7 @@
         let limit = configuration.limits.max_body_bytes;
         let facts = RequestFacts::from_request(configuration, &*self.dialect, &request);
         let is_upgrade = requests_upgrade(&request);
-        let (head, body) = CallerBody::split_request(request);
+        let (head, body) = request.into_parts();
         let upload = ReplayableUpload::new(body, self.state.buffers(), limit, BODY_IDLE_TIMEOUT);
         let facts = match facts {
             Ok(facts) if !is_upgrade => facts,
@@ -170,6 +185,10 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let service = self.draw_service(request)?;
         record.service = Some(service.clone());
+        // A request that has waited behind others of its connection may be past its deadline.
+        if request.facts.time_left().is_zero() {
+            return Err(timeout_refusal(request.dispatches()));
+        }
         let deadline = request.facts.deadline();
         let work = self.try_targets(request, &service, record);
         match tokio::time::timeout_at(deadline.into(), work).await {
