Placement: targets in their cold time are no homes; the pace of a target's machine

Cause: a target in its cold time takes requests of two hosts, yet it was the home of objects for all. The other hosts ran these objects on different second choices, cold on most of them. The fourth figure of a load, how long work takes on the target's machine, was dropped, so that slow moments of a machine were taken for slowness of the target and for cold objects.

Change: such targets are left out of the ranks of homes. WorkPace keeps the stated pace with its age; expected times are multiplied by it, measured ones divided.

--- a/crates/buckthornturn/src/entry/attempt_guard.rs
+++ b/crates/buckthornturn/src/entry/attempt_guard.rs
@@ -74,6 +74,9 @@
         let target = &self.choice.target;
         let now = Instant::now();
         let mut core = self.state.lock();
+        if let Some(pace) = facts.work_pace {
+            core.board.record_pace(target, pace, now);
+        }
         let change = core.board.record_limit(target, facts.limit, now);
         let started_at = self.choice.started_at;
         let has_entry = core.board.knows_target(target);
--- a/crates/buckthornturn/src/interface/caller_dialect.rs
+++ b/crates/buckthornturn/src/interface/caller_dialect.rs
@@ -48,6 +48,8 @@
     pub is_wrong_target: bool,
     /// Load of the target at the time of the answer; `None` if the header is absent or malformed.
     pub load: Option<TargetLoad>,
+    /// Duration of work on the target's machine as a multiple of the usual one; `None` if the answer states none.
+    pub work_pace: Option<f64>,
     /// Requests a second that the target takes from all hosts together; `None` if the answer states no limit.
     pub limit: Option<f64>,
     /// Value of a limit that is not a number of requests a second; the answer then counts as one without a limit.
--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -144,6 +144,14 @@
     an_answer_without_headers_yields_default_facts: 200, [] => AnswerHeaders::default();
     a_load_header_is_parsed: 200, [("x-server-load", "3, 0,8")] =>
         AnswerHeaders { load: Some(TargetLoad { running: 3, waiting: 0, slots: 8 }), ..AnswerHeaders::default() };
+    a_load_header_with_the_pace_of_its_machine_is_parsed: 200, [("x-server-load", "3,0,8, 250")] =>
+        AnswerHeaders {
+            load: Some(TargetLoad { running: 3, waiting: 0, slots: 8 }),
+            work_pace: Some(2.5),
+            ..AnswerHeaders::default()
+        };
+    an_invalid_pace_leaves_the_load: 200, [("x-server-load", "3,0,8,-250")] =>
+        AnswerHeaders { load: Some(TargetLoad { running: 3, waiting: 0, slots: 8 }), ..AnswerHeaders::default() };
     a_malformed_load_header_is_ignored: 200, [("x-server-load", "3,-1,8")] => AnswerHeaders::default();
     a_misdirected_request_marks_another_target: 421, [] =>
         AnswerHeaders { is_wrong_target: true, ..AnswerHeaders::default() };
--- a/crates/buckthornturn/src/platform/wire_dialect.rs
+++ b/crates/buckthornturn/src/platform/wire_dialect.rs
@@ -81,6 +81,7 @@
 
     fn parse_answer_headers(&self, answer: &response::Parts) -> AnswerHeaders {
         let headers = &answer.headers;
+        let load = header_text(headers, &LOAD_HEADER);
         let limit = headers.get(&LIMIT_HEADER);
         let rate = limit.and_then(parse_limit);
         let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
@@ -91,7 +92,8 @@
             is_signed: headers.contains_key(&SIGNATURE_HEADER),
             is_not_run: headers.contains_key(&NOT_RUN_HEADER),
             is_wrong_target: answer.status == StatusCode::MISDIRECTED_REQUEST,
-            load: header_text(headers, &LOAD_HEADER).and_then(|load| parse_load(&load)),
+            load: load.as_deref().and_then(parse_load),
+            work_pace: load.as_deref().and_then(parse_pace),
             limit: rate,
             unreadable_limit: limit
                 .filter(|_| rate.is_none())
@@ -151,6 +153,12 @@
     Some(TargetLoad { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// Parses the fourth figure of a load, the duration of work in percent of the usual one; `None` if it is missing or invalid.
+fn parse_pace(value: &str) -> Option<f64> {
+    let percent: f64 = value.split(',').nth(3)?.trim().parse().ok()?;
+    (percent.is_finite() && percent > 0.0).then_some(percent / 100.0)
+}
+
 /// Parses a limit in requests a second; `None` if it is no finite number of at least 0.
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
--- a/crates/coordination/src/fleet/attempt_recording.rs
+++ b/crates/coordination/src/fleet/attempt_recording.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Records how long work takes on the machine of a target, as the head of an answer states it: a multiple of the usual
+    /// duration. It is used by `record_end` for the answer that this belongs to, so that it has to be called before.
+    pub fn record_pace(&mut self, target: &str, ratio: f64, now: Instant) {
+        if let Some(record) = self.targets.get_mut(target) {
+            record.tracker.pace.record(ratio, now);
+        }
+    }
+
     /// Records a complete answer that took `time` since the dispatch.
     fn record_answer(
         &mut self,
@@ -66,10 +74,11 @@
         record.tracker.record_success(now);
         let times = self.service_times.entry(route.clone()).or_default();
         let work = time.saturating_sub(choice.wait);
-        let is_warm = times.record(work, choice.warmth, record.tracker.slowdown);
-        record.tracker.record_time(time, choice.expected_time.as_secs_f64());
+        let (pace, pace_change) = record.tracker.pace.of_answer(now);
+        let is_warm = times.record(work, choice.warmth, record.tracker.slowdown * pace);
+        record.tracker.record_time(time, choice.expected_time.as_secs_f64() * pace_change);
         let Some(service) = self.services.get_mut(&record.entry.service) else { return };
-        service.record_service_time(work);
+        service.record_service_time(work.div_f64(pace));
         let is_outside = record.entry.region != self.own_host.region;
         match is_warm {
             Some(is_warm) if choice.warmth == ObjectWarmth::Likely => {
--- a/crates/coordination/src/fleet/candidate_scoring.rs
+++ b/crates/coordination/src/fleet/candidate_scoring.rs
@@ -151,6 +151,8 @@
 
     /// Ranks targets of the own region and of `far_region` for an object by rendezvous scores, which are the same on all hosts. Targets that fail and `excluded`
     /// ones, on which an earlier attempt failed, are left out: all hosts that know of the failure have the same next home.
+    /// So are targets in their cold time, which take requests of few hosts: the others would not know which target keeps
+    /// the object warm meanwhile.
     pub(super) fn rank_targets(
         &self,
         records: &[&TargetRecord],
@@ -162,6 +164,7 @@
         let mut ranks = KeyRanks::default();
         let is_sound = |record: &TargetRecord| {
             record.tracker.failure_probability(now) < MAX_HOME_FAILURE
+                && !record.tracker.is_cold(now)
                 && !excluded.contains(&record.entry.target)
         };
         let sound = records.iter().enumerate().filter(|(_, record)| is_sound(record));
@@ -186,13 +189,14 @@
     ) -> Candidate<'a> {
         let tracker = &record.tracker;
         let times = self.service_times.get(request.route).copied().unwrap_or_default();
+        let slowdown = tracker.expected_slowdown(now);
         let work_seconds =
-            times.expected_seconds(warm_likelihood, request.latency_objective) * tracker.slowdown;
+            times.expected_seconds(warm_likelihood, request.latency_objective) * slowdown;
         let slots = record.entry.slots.max(1);
         let load = self.load_of(service, record, now);
         let excess = (load + 1.0 - f64::from(slots)).max(0.0);
         let service_seconds =
-            service.mean_service_seconds.unwrap_or(work_seconds) * tracker.slowdown;
+            service.mean_service_seconds.map_or(work_seconds, |mean| mean * slowdown);
         let wait_seconds = excess / f64::from(slots) * service_seconds;
         let is_outside = record.entry.region != self.own_host.region;
         let (trip, distance) = match is_outside {
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -41,6 +41,7 @@
 mod target_pause;
 mod target_reach;
 mod warm_keys;
+mod work_pace;
 
 pub use closed_domains::ClosedDomains;
 pub use crash_ledger::CrashChange;
@@ -109,3 +110,4 @@
 pub use target_reach::ReachChange;
 pub use target_reach::TargetReach;
 pub use warm_keys::WarmKeys;
+pub use work_pace::WorkPace;
--- a/crates/coordination/src/fleet/target_load.rs
+++ b/crates/coordination/src/fleet/target_load.rs
@@ -7,6 +7,7 @@
 use crate::fleet::TargetLimit;
 use crate::fleet::TargetPause;
 use crate::fleet::WarmKeys;
+use crate::fleet::WorkPace;
 use crate::token_bucket::TokenBucket;
 
 /// Time constant with which a report of other hosts' requests loses weight: most of them are done after two service
@@ -86,6 +87,8 @@
     pub replaced_at: Option<Instant>,
     /// Service time as a multiple of the service's average; above 1 is slower.
     pub slowdown: f64,
+    /// How long work takes on the target's machine at the moment. Kept apart from `slowdown`, which is the target's own.
+    pub pace: WorkPace,
     /// End of the target's cold time; `None` if it was never cold.
     pub cold_until: Option<Instant>,
     /// Rate limit of this host's requests to the target while it is cold.
@@ -115,6 +118,7 @@
             fleet_failures: FailureEstimate::new(now),
             replaced_at: None,
             slowdown: 1.0,
+            pace: WorkPace::default(),
             cold_until: None,
             cold_bucket: TokenBucket::new(now),
             full_until: None,
@@ -174,6 +178,11 @@
         self.fleet_failures.record_success(now);
     }
 
+    /// Returns the expected service time as a multiple of the service's average.
+    pub fn expected_slowdown(&self, now: Instant) -> f64 {
+        self.slowdown * self.pace.expected(now)
+    }
+
     /// Returns the probability that the next request fails, 0 to 1.
     pub fn failure_probability(&self, now: Instant) -> f64 {
         self.failures.probability(now).max(self.fleet_failures.probability(now))
