Store: an unreadable entry hides only itself; page names are encoded; decimals are whole numbers

Cause: the whole body of a list or a watch was decoded at once, so that half of a surrogate pair, bytes that are no UTF-8, a number beyond a double, deep nesting or a wrong type in one entry made all of them unreadable. The name of the last entry of a page went into `?after=` as it is. Fields of whole numbers rejected `2000.0`.

Change: a scanner over the bytes finds the extent of each entry, which is decoded on its own; so are changes that other hosts send and elements of datagrams that cannot be decoded whole. Unreadable entries are logged once for each version and counted (`unreadable_entries`). A configuration that is not applied no longer raises the revision that the host reports. Names are percent-encoded. Whole numbers may be written as decimals; 2000.5 and negative numbers are errors with place and reason.

--- a/crates/buckthornturn/src/entry/crash_archivist.rs
+++ b/crates/buckthornturn/src/entry/crash_archivist.rs
@@ -17,6 +17,8 @@
 use crate::interface::ArchivedCrashes;
 use crate::interface::CrashArchive;
 
+/// Value of the metrics' label `part` for refused requests.
+const CRASHES_LABEL: &str = "crashing-requests";
 /// Most requests that wait to be written; further ones are kept by the hosts alone.
 const MAX_WAITING: usize = 64;
 /// Time after which a request is written. A trial clears requests within it that only ran where targets ended.
@@ -85,7 +87,11 @@
     async fn load(&mut self) {
         for _ in 0..MAX_CALLS {
             match self.archive.load().await {
-                Ok(archived) => return self.merge(archived).await,
+                Ok(loaded) => {
+                    let count = loaded.unreadable;
+                    self.state.metrics().count_unreadable(CRASHES_LABEL, count);
+                    return self.merge(loaded.archived).await;
+                }
                 Err(reason) => warn!("cannot read refused requests", kv: { reason: }),
             }
             tokio::time::sleep(REPEAT_PAUSE).await;
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -46,6 +46,11 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct EntryLabels {
+    part: &'static str,
+}
+
 /// Counters and latency histograms of an entry host, which any thread may update.
 pub struct EntryMetrics {
     registry: Registry,
@@ -55,6 +60,7 @@
     sent: Counter,
     repeated: Counter,
     store_calls: Family<PartLabels, Counter>,
+    unreadable_entries: Family<EntryLabels, Counter>,
     token_asks: Family<SourceLabels, Counter>,
     dropped_lines: Gauge<u64, AtomicU64>,
     hosts: Gauge<u64, AtomicU64>,
@@ -96,6 +102,7 @@
             sent: Counter::default(),
             repeated: Counter::default(),
             store_calls: Family::default(),
+            unreadable_entries: Family::default(),
             token_asks: Family::default(),
             dropped_lines: Gauge::default(),
             hosts: Gauge::default(),
@@ -136,6 +143,13 @@
         self.store_calls.get_or_create(&PartLabels { part, result }).inc();
     }
 
+    /// Counts entries that cannot be decoded, each of their versions once, by the part of the state or the message they are in.
+    pub fn count_unreadable(&self, part: &'static str, count: u64) {
+        if count > 0 {
+            self.unreadable_entries.get_or_create(&EntryLabels { part }).inc_by(count);
+        }
+    }
+
     /// Counts a token request to a keeper by the source that the token then came from.
     pub fn count_token_request(&self, source: &'static str) {
         self.token_asks.get_or_create(&SourceLabels { source }).inc();
@@ -176,6 +190,8 @@
         registry.register("repeated", "Requests sent to a further target", self.repeated.clone());
         let calls = "Calls to the store by part of the state and result";
         registry.register("store_calls", calls, self.store_calls.clone());
+        let unreadable = "Versions of entries that cannot be decoded, by where they were read";
+        registry.register("unreadable_entries", unreadable, self.unreadable_entries.clone());
         let asks = "Questions for customers' tokens by where the token came from";
         registry.register("token_asks", asks, self.token_asks.clone());
         let dropped = "Log lines dropped since the start";
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -185,7 +185,7 @@
         };
         let StateVersion { era, revision } = core.histories[part as usize].version();
         let StateVersion { era: latest_era, revision: latest } = core.applied(part);
-        StateBatch { revision, era, latest, latest_era, changes }
+        StateBatch { revision, era, latest, latest_era, changes, unreadable: 0 }
     }
 
     /// Waits at most `wait` until a configuration or a later one is in force, and returns whether it is.
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -33,6 +33,9 @@
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Value of the metrics' label `part` for messages of other hosts.
+const DATAGRAMS_LABEL: &str = "datagrams";
+
 /// Runs the periodic work of the host, and sends and receives datagrams on the mesh socket.
 pub struct GossipLoop {
     state: Arc<EntryState>,
@@ -147,26 +150,35 @@
     }
 
     async fn handle_datagram(&self, bytes: &[u8], sender: SocketAddr) {
-        match serde_json::from_slice(bytes) {
-            Ok(MeshDatagram::Heartbeat(news)) => self.handle_heartbeat(*news).await,
-            Ok(MeshDatagram::TokenAsk { number, customer, tokens }) => {
+        let (datagram, left_out) = match MeshDatagram::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(reason) => {
+                self.state.metrics().count_unreadable(DATAGRAMS_LABEL, 1);
+                return warn!("received a datagram that cannot be decoded", kv: { sender:, reason: });
+            }
+        };
+        self.state.metrics().count_unreadable(DATAGRAMS_LABEL, left_out);
+        let subject = format!("datagram of {sender}");
+        if left_out > 0 && self.state.lock().warnings.take(&subject, Instant::now()) {
+            warn!("parts of a datagram cannot be decoded", kv: { sender:, count: = left_out });
+        }
+        match datagram {
+            MeshDatagram::Heartbeat(news) => self.handle_heartbeat(*news).await,
+            MeshDatagram::TokenAsk { number, customer, tokens } => {
                 let now = self.state.token_time();
                 let grant = self.state.lock().quotas.grant_tokens(&customer, tokens, now);
                 MeshDatagram::TokenGrant { number, grant }.send(&self.socket, [sender]).await;
             }
-            Ok(MeshDatagram::TokenGrant { number, grant }) => {
+            MeshDatagram::TokenGrant { number, grant } => {
                 self.client.receive_answer(number, MeshAnswer::Tokens(grant))
             }
-            Ok(MeshDatagram::Crashes(reports)) => self.reporter.receive_reports(&reports).await,
-            Ok(MeshDatagram::TrialAsk { number, report }) => {
+            MeshDatagram::Crashes(reports) => self.reporter.receive_reports(&reports).await,
+            MeshDatagram::TrialAsk { number, report } => {
                 self.reporter.answer_trial(number, report, sender).await;
             }
-            Ok(MeshDatagram::TrialGrant { number, grant }) => {
+            MeshDatagram::TrialGrant { number, grant } => {
                 self.client.receive_answer(number, MeshAnswer::Trial(grant))
             }
-            Err(error) => {
-                warn!("received a datagram that cannot be decoded", kv: { sender:, reason: = error })
-            }
         }
     }
 
--- a/crates/buckthornturn/src/entry/mesh_datagram.rs
+++ b/crates/buckthornturn/src/entry/mesh_datagram.rs
@@ -14,10 +14,21 @@
 use coordination::ids::CustomerId;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use spdlog::debug;
 use spdlog::warn;
 use tokio::net::UdpSocket;
 
+use crate::json_extent::RawMembers;
+use crate::json_extent::decode_elements;
+use crate::json_extent::decode_member;
+use crate::json_extent::find_member;
+use crate::json_extent::split_object;
+
+#[cfg(test)]
+#[path = "mesh_datagram_tests.rs"]
+mod tests;
+
 /// A datagram between entry hosts, encoded as JSON.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -94,9 +105,62 @@
         let (leaving, pauses, crashes) = (Vec::new(), Vec::new(), Vec::new());
         Self { own, others, seen, failing, limits, leaving, pauses, crashes, asks: false }
     }
+
+    /// Decodes what can be decoded of a message, and counts the elements that are left out. `None` if the sender's own state
+    /// cannot be decoded.
+    fn decode_separately(text: &[u8]) -> Option<(Self, u64)> {
+        let members = split_object(text)?;
+        let mut left_out = 0;
+        let mut message = Self::without_news(decode_member(&members, "own")?);
+        message.others = decode_list(&members, "others", &mut left_out);
+        message.seen = decode_list(&members, "seen", &mut left_out);
+        message.failing = decode_list(&members, "failing", &mut left_out);
+        message.limits = decode_list(&members, "limits", &mut left_out);
+        message.leaving = decode_list(&members, "leaving", &mut left_out);
+        message.pauses = decode_list(&members, "pauses", &mut left_out);
+        message.crashes = decode_list(&members, "crashes", &mut left_out);
+        message.asks = decode_member(&members, "asks")?;
+        Some((message, left_out))
+    }
+}
+
+/// Elements of a list that can be decoded; the others are counted. A list that is none counts as one.
+fn decode_list<T: DeserializeOwned>(
+    members: &RawMembers<'_>,
+    key: &str,
+    left_out: &mut u64,
+) -> Vec<T> {
+    let Some(text) = find_member(members, key) else { return Vec::new() };
+    let (elements, unreadable) = decode_elements(text).unwrap_or_else(|| (Vec::new(), 1));
+    *left_out += unreadable;
+    elements
 }
 
 impl MeshDatagram {
+    /// Decodes a datagram. If a part of it cannot be decoded, the elements of its lists are decoded separately and those that
+    /// cannot be are left out; their number is returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if no element can be told apart, or the sender's own state cannot be decoded.
+    pub fn decode(bytes: &[u8]) -> Result<(Self, u64), Box<str>> {
+        let error = match serde_json::from_slice(bytes) {
+            Ok(datagram) => return Ok((datagram, 0)),
+            Err(error) => error,
+        };
+        let members = split_object(bytes).unwrap_or_default();
+        let heartbeat =
+            find_member(&members, "heartbeat").and_then(HeartbeatMessage::decode_separately);
+        let crashes = || find_member(&members, "crashes").and_then(decode_elements);
+        match heartbeat {
+            Some((message, left_out)) => Ok((Self::Heartbeat(Box::new(message)), left_out)),
+            None => match crashes() {
+                Some((reports, left_out)) => Ok((Self::Crashes(reports), left_out)),
+                None => Err(error.to_string().into()),
+            },
+        }
+    }
+
     /// Sends the datagram to each receiver. Failures are only logged, since datagrams may be lost anyway.
     pub async fn send(&self, socket: &UdpSocket, receivers: impl IntoIterator<Item = SocketAddr>) {
         let mut receivers = receivers.into_iter().peekable();
--- a/crates/buckthornturn/src/entry/peer_reader.rs
+++ b/crates/buckthornturn/src/entry/peer_reader.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use serde_json::json;
+use spdlog::warn;
 
 use crate::entry::EntryState;
 use crate::interface::SourceError;
@@ -18,8 +19,16 @@
 use crate::interface::StreamDialer;
 use crate::interface::UnavailableSnafu;
 use crate::interface::UnreadableSnafu;
+use crate::json_extent::decode_elements;
+use crate::json_extent::decode_member;
+use crate::json_extent::find_member;
+use crate::json_extent::split_object;
 use crate::store::HttpReader;
 
+#[cfg(test)]
+#[path = "peer_reader_tests.rs"]
+mod tests;
+
 const STATE_PATH: &str = "/state/";
 const STATUS_PATH: &str = "/status";
 /// Timeout of a read from another host: a few round trips between regions and the transfer of a megabyte.
@@ -52,7 +61,7 @@
         part: StatePart,
     ) -> Result<StateBatch, SourceError> {
         let reader = self.reader_for(peer);
-        fetch_batch(&reader, &format!("{STATE_PATH}{}", part.name()), READ_TIMEOUT).await
+        fetch_batch(&reader, part, &format!("{STATE_PATH}{}", part.name()), READ_TIMEOUT).await
     }
 
     /// Watches a part through the host with the mesh address `peer`: returns its changes after a state, or an empty
@@ -69,7 +78,7 @@
         let StateVersion { era, revision } = after;
         let name = part.name();
         let path = format!("{STATE_PATH}{name}?after={revision}&era={era}&wait_ms={wait_ms}");
-        async move { fetch_batch(&reader, &path, wait + READ_TIMEOUT).await }
+        async move { fetch_batch(&reader, part, &path, wait + READ_TIMEOUT).await }
     }
 
     fn reader_for(&mut self, peer: SocketAddr) -> Arc<HttpReader> {
@@ -86,21 +95,54 @@
 
 async fn fetch_batch(
     reader: &HttpReader,
+    part: StatePart,
     path: &str,
     timeout: Duration,
 ) -> Result<StateBatch, SourceError> {
     let answer = reader.get(path, path, timeout).await;
     let answer = answer.or_else(|reason| UnavailableSnafu { reason }.fail())?;
     match answer.status() {
-        StatusCode::OK => serde_json::from_slice(answer.body()).map_err(|error| {
-            let reason = error.to_string();
-            UnreadableSnafu { reason }.build()
-        }),
+        StatusCode::OK => {
+            let batch = decode_batch(part, answer.body());
+            let batch = batch.or_else(|reason| UnreadableSnafu { reason }.fail())?;
+            if batch.unreadable > 0 {
+                warn!("cannot decode changes of another host; leaving them out", kv: {
+                    part: = part.name(), peer: = reader.address(), revision = batch.revision, count = batch.unreadable
+                });
+            }
+            Ok(batch)
+        }
         StatusCode::GONE => Err(SourceError::HistoryGone),
         status => Err(SourceError::Refused { status: status.as_u16() }),
     }
 }
 
+/// Decodes a part of the state as another host sends it. Changes that cannot be decoded are left out and counted.
+fn decode_batch(part: StatePart, body: &[u8]) -> Result<StateBatch, Box<str>> {
+    match serde_json::from_slice(body) {
+        Ok(batch) => Ok(batch),
+        Err(error) => decode_separately(part, body).ok_or_else(|| Box::from(error.to_string())),
+    }
+}
+
+fn decode_separately(part: StatePart, body: &[u8]) -> Option<StateBatch> {
+    let members = split_object(body)?;
+    let (changes, unreadable) = decode_elements(find_member(&members, "changes")?)?;
+    let mut batch = StateBatch {
+        revision: decode_member(&members, "revision")?,
+        era: decode_member(&members, "era").unwrap_or_default(),
+        latest: decode_member(&members, "latest")?,
+        latest_era: decode_member(&members, "latest_era").unwrap_or_default(),
+        changes,
+        unreadable,
+    };
+    // A configuration that is not applied must not count as the latest one.
+    if part == StatePart::Configuration && batch.changes.is_empty() {
+        batch.latest = 0;
+    }
+    Some(batch)
+}
+
 /// Answers a request on the mesh listener: a part of the state, whole or as the changes after a state, or the status of
 /// this host.
 pub async fn answer_peer(
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -99,6 +99,7 @@
                             part: = self.part.name(), revision = batch.revision, latest = batch.latest
                         });
                     }
+                    self.state.metrics().count_unreadable(self.part.name(), batch.unreadable);
                     let has_changes = !batch.changes.is_empty();
                     let after = batch.version();
                     let is_outage = self.state.lock().is_after_outage(Instant::now());
@@ -255,6 +256,7 @@
         match self.peers.read(peer, self.part).await {
             Ok(snapshot) => {
                 let latest = snapshot.latest_version();
+                self.state.metrics().count_unreadable(self.part.name(), snapshot.unreadable);
                 let is_applied = self.state.apply_snapshot(self.part, snapshot);
                 info!("state read from another host", kv: {
                     part: = self.part.name(), peer:, latest:, is_applied:
--- a/crates/buckthornturn/src/interface/crash_archive.rs
+++ b/crates/buckthornturn/src/interface/crash_archive.rs
@@ -17,10 +17,19 @@
     pub recorded_at: SystemTime,
 }
 
+/// Result of reading the refused requests.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadedCrashes {
+    /// Requests that could be decoded.
+    pub archived: Vec<ArchivedCrashes>,
+    /// Number of entries that could not, in versions that the archive had not met before.
+    pub unreadable: u64,
+}
+
 /// Place outside the hosts where refused requests are kept. Each call has a timeout.
 pub trait CrashArchive: Send + Sync {
     /// Reads all refused requests; those that cannot be decoded are left out.
-    fn load(&self) -> BoxFuture<'_, Result<Vec<ArchivedCrashes>, SourceError>>;
+    fn load(&self) -> BoxFuture<'_, Result<LoadedCrashes, SourceError>>;
 
     /// Writes a refused request in place of what was known of it.
     fn save(&self, archived: ArchivedCrashes) -> BoxFuture<'_, Result<(), SourceError>>;
--- a/crates/buckthornturn/src/interface/mod.rs
+++ b/crates/buckthornturn/src/interface/mod.rs
@@ -40,6 +40,7 @@
 pub use change_appender::ConfigChange;
 pub use crash_archive::ArchivedCrashes;
 pub use crash_archive::CrashArchive;
+pub use crash_archive::LoadedCrashes;
 pub use freshness_cell::FreshnessCell;
 pub use key_freshness::KeyFreshness;
 pub use object_store::MAX_VALUE_BYTES;
--- a/crates/buckthornturn/src/interface/state_source.rs
+++ b/crates/buckthornturn/src/interface/state_source.rs
@@ -73,6 +73,9 @@
     pub latest_era: Era,
     /// Changes in the order of their revisions. The batch of a read describes the whole part.
     pub changes: Vec<StateChange>,
+    /// Number of entries that could not be decoded, in versions that the source had not met before.
+    #[serde(skip)]
+    pub unreadable: u64,
 }
 
 impl StateBatch {
--- a/crates/buckthornturn/src/lib.rs
+++ b/crates/buckthornturn/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host_process;
 mod host_startup;
 pub mod interface;
+mod json_extent;
 mod listener;
 pub mod logging;
 pub mod membership;
--- a/crates/buckthornturn/src/platform/config_document.rs
+++ b/crates/buckthornturn/src/platform/config_document.rs
@@ -9,6 +9,8 @@
 use serde_json::Value;
 use spdlog::warn;
 
+use super::whole_number::optional_whole_number;
+use super::whole_number::whole_number;
 use crate::callers::key_hash;
 use crate::entry::EntryConfiguration;
 use crate::entry::EntryCustomer;
@@ -54,18 +56,18 @@
     path_prefix: Box<str>,
     /// A request may run more than once only if this is `idempotent`; every other value forbids it.
     route_type: Box<str>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     timeout_ms: Option<u64>,
     /// Latency objective, measured from the arrival of the request; the route's timeout if it is absent.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     target_latency_ms: Option<u64>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     priority: u32,
     #[serde(default)]
     backend_service: Option<Box<str>>,
     #[serde(default)]
     traffic_split: Vec<SplitBody>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     max_attempts: Option<u32>,
     #[serde(default)]
     public: bool,
@@ -94,7 +96,7 @@
 struct CustomerBody {
     #[serde(default)]
     api_keys: Vec<Box<str>>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     priority: Option<u32>,
     #[serde(default)]
     rate_per_s: f64,
@@ -106,9 +108,9 @@
 
 #[derive(Deserialize)]
 struct LimitsBody {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     max_body_bytes: Option<u64>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "optional_whole_number")]
     idle_timeout_ms: Option<u64>,
 }
 
--- a/crates/buckthornturn/src/platform/crash_objects.rs
+++ b/crates/buckthornturn/src/platform/crash_objects.rs
@@ -14,12 +14,14 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
-use spdlog::warn;
 
 use super::StoreSource;
 use super::store_answer::ListAnswer;
+use super::store_answer::StoreObject;
+use super::whole_number::whole_number;
 use crate::interface::ArchivedCrashes;
 use crate::interface::CrashArchive;
+use crate::interface::LoadedCrashes;
 use crate::interface::SourceError;
 use crate::interface::UnavailableSnafu;
 
@@ -31,6 +33,7 @@
 #[derive(Deserialize)]
 struct CrashDocument {
     report: CrashReport,
+    #[serde(deserialize_with = "whole_number")]
     recorded_at_ms: u64,
 }
 
@@ -50,21 +53,25 @@
         status.or_else(|reason| UnavailableSnafu { reason }.fail())
     }
 
-    async fn load_crashes(&self) -> Result<Vec<ArchivedCrashes>, SourceError> {
+    async fn load_crashes(&self) -> Result<LoadedCrashes, SourceError> {
         // A host that starts may take an answer that is seconds old: the others tell it of later changes.
         let path = format!("/objects/{KIND}?stale_ok=1");
-        let (_, answer): (_, ListAnswer) = self.get_json(&path, &path, CALL_TIMEOUT).await?;
-        let decoded = answer.items.into_iter().filter_map(|object| {
-            let name = object.metadata.name;
-            match serde_json::from_value::<CrashDocument>(object.spec) {
-                Ok(document) => Some(document.into_archived()),
-                Err(reason) => {
-                    warn!("cannot decode a refused request; ignoring it", kv: { name:, reason: });
-                    None
-                }
-            }
-        });
-        Ok(decoded.collect())
+        let (era, answer) = self.get_json(&path, &path, CALL_TIMEOUT, ListAnswer::decode).await?;
+        let mut loaded = LoadedCrashes::default();
+        for item in &answer.items {
+            let is_new = match item {
+                Ok(object) => match decode_object(object) {
+                    Ok(archived) => {
+                        loaded.archived.push(archived);
+                        continue;
+                    }
+                    Err(reason) => self.unreadable().report(KIND, era, object, &reason),
+                },
+                Err(entry) => self.unreadable().report_unnamed(KIND, era, entry),
+            };
+            loaded.unreadable += u64::from(is_new);
+        }
+        Ok(loaded)
     }
 
     async fn save_crashes(&self, archived: ArchivedCrashes) -> Result<(), SourceError> {
@@ -90,7 +97,7 @@
 }
 
 impl CrashArchive for StoreSource {
-    fn load(&self) -> BoxFuture<'_, Result<Vec<ArchivedCrashes>, SourceError>> {
+    fn load(&self) -> BoxFuture<'_, Result<LoadedCrashes, SourceError>> {
         self.load_crashes().boxed()
     }
 
@@ -103,11 +110,14 @@
     }
 }
 
-impl CrashDocument {
-    fn into_archived(self) -> ArchivedCrashes {
-        let recorded_at = UNIX_EPOCH + Duration::from_millis(self.recorded_at_ms);
-        ArchivedCrashes { report: self.report, recorded_at }
-    }
+/// Decodes an object. The error has the path of the field and the reason.
+fn decode_object(object: &StoreObject) -> Result<ArchivedCrashes, Box<str>> {
+    let spec = object.spec.as_ref().map_err(Clone::clone)?;
+    let document: CrashDocument = serde_path_to_error::deserialize(spec)
+        .map_err(|error| Box::from(format!("{}: {}", error.path(), error.inner())))?;
+    let since_epoch = Duration::from_millis(document.recorded_at_ms);
+    let recorded_at = UNIX_EPOCH.checked_add(since_epoch).ok_or("recorded_at_ms: out of range")?;
+    Ok(ArchivedCrashes { report: document.report, recorded_at })
 }
 
 fn encode_object(name: &str, archived: &ArchivedCrashes) -> Value {
--- a/crates/buckthornturn/src/platform/mod.rs
+++ b/crates/buckthornturn/src/platform/mod.rs
@@ -6,6 +6,8 @@
 mod store_answer;
 mod store_source;
 mod target_document;
+mod unreadable_entries;
+mod whole_number;
 mod wire_dialect;
 
 pub use config_document::decode_configuration;
--- a/crates/buckthornturn/src/platform/store_source.rs
+++ b/crates/buckthornturn/src/platform/store_source.rs
@@ -17,7 +17,8 @@
 use http::HeaderName;
 use http::StatusCode;
 use indexmap::IndexMap;
-use serde::de::DeserializeOwned;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use spdlog::info;
 use spdlog::warn;
 
@@ -27,6 +28,7 @@
 use super::store_answer::StoreObject;
 use super::store_answer::WatchAnswer;
 use super::store_answer::WatchEvent;
+use super::unreadable_entries::UnreadableEntries;
 use crate::interface::SourceError;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
@@ -54,6 +56,7 @@
     /// Era of the latest answer that named one; it holds for answers that do not.
     era: AtomicU64,
     has_warned: AtomicBool,
+    unreadable: UnreadableEntries,
 }
 
 impl StoreSource {
@@ -69,6 +72,7 @@
             regions,
             era: AtomicU64::new(0),
             has_warned: AtomicBool::new(false),
+            unreadable: UnreadableEntries::default(),
         }
     }
 
@@ -81,10 +85,13 @@
         for page in 0..MAX_LIST_PAGES {
             let path = match page {
                 0 => format!("/objects/{kind}"),
-                _ => format!("/objects/{kind}?after={after}"),
+                _ => {
+                    let after = utf8_percent_encode(&after, NON_ALPHANUMERIC);
+                    format!("/objects/{kind}?after={after}")
+                }
             };
-            let (era, answer): (Era, ListAnswer) =
-                self.get_json(&path, &path, CALL_TIMEOUT).await?;
+            let (era, answer) =
+                self.get_json(&path, &path, CALL_TIMEOUT, ListAnswer::decode).await?;
             if page == 0 {
                 batch.revision = answer.current_rev;
                 (batch.era, batch.latest_era) = (era, era);
@@ -92,13 +99,23 @@
             if era != batch.era {
                 return Err(SourceError::HistoryGone);
             }
-            for object in &answer.items {
-                batch.latest = batch.latest.max(object.metadata.revision);
-                batch.changes.extend(self.change_from_object(part, object));
+            for item in &answer.items {
+                match item {
+                    Ok(object) => self.add_object(part, object, &mut batch),
+                    Err(entry) => {
+                        let is_new = self.unreadable.report_unnamed(kind, era, entry);
+                        batch.unreadable += u64::from(is_new);
+                    }
+                }
             }
-            match answer.items.last() {
-                Some(last) if answer.more => after = last.metadata.name.clone(),
-                _ => return Ok(batch),
+            // The next page begins again with the entries without a name behind the last one that has a name.
+            match answer.items.into_iter().rev().find_map(Result::ok) {
+                _ if !answer.more => return Ok(batch),
+                Some(last) => after = last.name,
+                None => {
+                    let reason = format!("a page of {kind} without a readable name");
+                    return UnreadableSnafu { reason }.fail();
+                }
             }
         }
         UnreadableSnafu { reason: format!("more than {MAX_LIST_PAGES} pages of {kind}") }.fail()
@@ -117,8 +134,9 @@
         };
         // The store may have come back from a copy since the connection broke, which its next answer tells.
         let repeat_path = path(Duration::ZERO);
-        let (era, answer): (Era, WatchAnswer) =
-            self.get_json(&path(wait), &repeat_path, wait + CALL_TIMEOUT).await?;
+        let timeout = wait + CALL_TIMEOUT;
+        let (era, answer) =
+            self.get_json(&path(wait), &repeat_path, timeout, WatchAnswer::decode).await?;
         if era != after.era {
             return Err(SourceError::HistoryGone);
         }
@@ -129,51 +147,64 @@
             ..StateBatch::default()
         };
         for event in &answer.events {
-            batch.latest = batch.latest.max(event.object.metadata.revision);
-            batch.changes.extend(self.change_from_event(part, event));
+            match event {
+                Ok(event) => self.add_event(part, event, &mut batch),
+                Err(entry) => {
+                    let is_new = self.unreadable.report_unnamed(kind, era, entry);
+                    batch.unreadable += u64::from(is_new);
+                }
+            }
         }
         Ok(batch)
     }
 
-    /// Converts a watch event. `None` if it changes nothing: the configuration in force outlives the removal of its object.
-    fn change_from_event(&self, part: StatePart, event: &WatchEvent) -> Option<StateChange> {
-        let name = &event.object.metadata.name;
-        match part {
-            _ if !event.deleted => self.change_from_object(part, &event.object),
+    /// Adds what a watch event changes. The configuration in force outlives the removal of its object.
+    fn add_event(&self, part: StatePart, event: &WatchEvent, batch: &mut StateBatch) {
+        if !event.deleted {
+            return self.add_object(part, &event.object, batch);
+        }
+        let name = &event.object.name;
+        let change = match part {
             StatePart::Configuration => {
-                warn!("the configuration was removed from the store; keeping the one in force", kv: { name: });
-                None
+                return warn!("the configuration was removed from the store; keeping the one in force", kv: { name: });
             }
-            StatePart::Targets => Some(StateChange::TargetGone(name.clone())),
-            StatePart::ClosedDomains => Some(StateChange::DomainOpened(name.clone())),
-        }
+            StatePart::Targets => StateChange::TargetGone(name.clone()),
+            StatePart::ClosedDomains => StateChange::DomainOpened(name.clone()),
+        };
+        batch.latest = batch.latest.max(event.object.revision);
+        batch.changes.push(change);
     }
 
-    /// Converts an object that the store holds. An object that cannot be decoded leaves the configuration in force, but removes
-    /// a target.
-    fn change_from_object(&self, part: StatePart, object: &StoreObject) -> Option<StateChange> {
-        let name = &object.metadata.name;
-        match part {
-            StatePart::Configuration if &**name != CONFIGURATION_NAME => None,
-            StatePart::Configuration => match decode_configuration(&object.spec) {
-                Ok(configuration) => Some(StateChange::Configuration(Box::new(configuration))),
-                Err(reason) => {
-                    let revision = object.metadata.revision;
-                    warn!("cannot decode the configuration; keeping the one in force", kv: { revision:, reason: });
-                    None
-                }
-            },
-            StatePart::Targets if object.metadata.deleting => {
-                Some(StateChange::TargetGone(name.clone()))
+    /// Adds what an object that the store holds changes. An object that cannot be decoded leaves the configuration in force,
+    /// but removes a target. That a failure domain is closed depends on the name of the object alone.
+    fn add_object(&self, part: StatePart, object: &StoreObject, batch: &mut StateBatch) {
+        let StoreObject { name, revision, deleting, spec } = object;
+        let spec = spec.as_ref().map_err(Clone::clone);
+        let change = match part {
+            StatePart::Configuration if &**name != CONFIGURATION_NAME => return,
+            StatePart::Configuration => spec.and_then(|spec| {
+                let configuration = decode_configuration(spec)?;
+                Ok(StateChange::Configuration(Box::new(configuration)))
+            }),
+            StatePart::Targets if *deleting => Ok(StateChange::TargetGone(name.clone())),
+            StatePart::Targets => spec.and_then(|spec| {
+                Ok(StateChange::Target(decode_target(name, spec, &self.regions)?))
+            }),
+            StatePart::ClosedDomains => Ok(StateChange::DomainClosed(name.clone())),
+        };
+        let change = change.or_else(|reason| {
+            let is_new = self.unreadable.report(object_kind(part), batch.era, object, &reason);
+            batch.unreadable += u64::from(is_new);
+            match part {
+                StatePart::Targets => Ok(StateChange::TargetGone(name.clone())),
+                _ => Err(reason),
             }
-            StatePart::Targets => match decode_target(name, &object.spec, &self.regions) {
-                Ok(entry) => Some(StateChange::Target(entry)),
-                Err(reason) => {
-                    warn!("cannot decode a target entry; ignoring the target", kv: { name:, reason: });
-                    Some(StateChange::TargetGone(name.clone()))
-                }
-            },
-            StatePart::ClosedDomains => Some(StateChange::DomainClosed(name.clone())),
+        });
+        // A configuration that is not applied must not count as the latest one, or hosts that start would not read the one
+        // in force from others.
+        if let Ok(change) = change {
+            batch.latest = batch.latest.max(*revision);
+            batch.changes.push(change);
         }
     }
 
@@ -201,24 +232,27 @@
         &self.reader
     }
 
-    /// Sends a GET request, if it fails one for `repeat_path`, and deserializes the JSON body of the answer. Returns the era
-    /// of the store with it. The status `410 Gone` means that the store no longer has the history of a watch.
-    pub(super) async fn get_json<T: DeserializeOwned>(
+    /// Unreadable entries that were logged.
+    pub(super) fn unreadable(&self) -> &UnreadableEntries {
+        &self.unreadable
+    }
+
+    /// Sends a GET request, if it fails one for `repeat_path`, and decodes the body of the answer. Returns the era of the store
+    /// with it. The status `410 Gone` means that the store no longer has the history of a watch.
+    pub(super) async fn get_json<T>(
         &self,
         path: &str,
         repeat_path: &str,
         timeout: Duration,
+        decode: impl Fn(&[u8]) -> Result<T, Box<str>>,
     ) -> Result<(Era, T), SourceError> {
         let answer = self.reader.get(path, repeat_path, timeout).await;
         let answer = answer.or_else(|reason| UnavailableSnafu { reason }.fail())?;
         let era = self.answer_era(answer.headers());
         match answer.status() {
             StatusCode::OK => {
-                let mut json = serde_json::Deserializer::from_slice(answer.body());
-                let decoded = serde_path_to_error::deserialize(&mut json).map_err(|error| {
-                    let reason = format!("{}: {}", error.path(), error.inner());
-                    UnreadableSnafu { reason }.build()
-                })?;
+                let decoded = decode(answer.body());
+                let decoded = decoded.or_else(|reason| UnreadableSnafu { reason }.fail())?;
                 Ok((era, decoded))
             }
             StatusCode::GONE => Err(SourceError::HistoryGone),
--- a/crates/buckthornturn/src/platform/target_document.rs
+++ b/crates/buckthornturn/src/platform/target_document.rs
@@ -11,11 +11,14 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::store_answer::MAX_NAME_BYTES;
+use super::whole_number::whole_number;
+
 #[derive(Deserialize)]
 struct TargetBody {
     address: SocketAddr,
     /// Start time of the target in Unix milliseconds; 0 for targets that do not report it.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     born: u64,
     info: InfoBody,
     status: StatusBody,
@@ -25,6 +28,7 @@
 struct InfoBody {
     backend_service: Box<str>,
     zone: Box<str>,
+    #[serde(deserialize_with = "whole_number")]
     slots: u32,
 }
 
@@ -32,7 +36,7 @@
 struct StatusBody {
     state: Box<str>,
     /// Remaining time for which the target is slower because it started recently.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     cold_remaining_ms: u64,
 }
 
@@ -56,6 +60,9 @@
     let region = regions
         .get(&body.info.zone)
         .ok_or_else(|| format!("info.zone: `{}` is unknown", body.info.zone))?;
+    if body.info.backend_service.len() > MAX_NAME_BYTES {
+        return Err(format!("info.backend_service: longer than {MAX_NAME_BYTES} bytes").into());
+    }
     if body.info.slots == 0 {
         return Err("info.slots: must be at least 1".into());
     }
--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -14,6 +14,7 @@
 use super::WireDialect;
 use super::decode_configuration;
 use super::decode_target;
+use super::store_answer::ListAnswer;
 use crate::interface::AnswerHeaders;
 use crate::interface::CallerDialect;
 use crate::interface::TargetHeaders;
@@ -49,7 +50,19 @@
         route_document(json!({ "hostname": "h", "path_prefix": "/", "route_type": "upload" })) => "r: the route names no service";
     a_negative_timeout_is_reported: route_document(json!({
         "hostname": "h", "path_prefix": "/", "route_type": "upload", "timeout_ms": -1, "backend_service": "s"
-    })) => "r: timeout_ms";
+    })) => "r: timeout_ms: invalid value: integer `-1`, expected a whole number";
+    a_fractional_timeout_is_reported: route_document(json!({
+        "hostname": "h", "path_prefix": "/", "route_type": "upload", "timeout_ms": 2000.5, "backend_service": "s"
+    })) => "r: timeout_ms: invalid value: floating point `2000.5`, expected a whole number";
+    too_many_attempts_are_reported: route_document(json!({
+        "hostname": "h", "path_prefix": "/", "route_type": "upload", "max_attempts": 4294967296.0, "backend_service": "s"
+    })) => "r: max_attempts: invalid value: integer `4294967296`";
+    a_negative_decimal_is_reported: json!({ "version": "1", "resources": [
+        { "resource_kind": "tenants", "metadata": { "name": "t" }, "spec": { "priority": -2.0 } }
+    ]}) => "t: priority: invalid value: floating point `-2.0`";
+    a_limit_beyond_the_range_is_reported: json!({ "version": "1", "resources": [
+        { "resource_kind": "limits", "metadata": {}, "spec": { "max_body_bytes": 1e20 } }
+    ]}) => "limits: max_body_bytes";
 }
 
 macro_rules! target_error_tests {
@@ -67,6 +80,9 @@
 target_error_tests! {
     an_invalid_address_is_reported: "/address" = json!("here") => "address";
     a_fractional_start_time_is_reported: "/born" = json!(1.5) => "born";
+    a_negative_start_time_is_reported: "/born" = json!(-5) => "born: invalid value: integer `-5`";
+    fractional_slots_are_reported: "/info/slots" = json!(6.5) => "info.slots: invalid value: floating point `6.5`";
+    a_long_service_name_is_reported: "/info/backend_service" = json!("s".repeat(513)) => "info.backend_service: longer";
     an_unknown_state_is_reported: "/status/state" = json!("asleep") => "status.state: `asleep`";
     an_unknown_failure_domain_is_reported: "/info/zone" = json!("south") => "info.zone: `south`";
     zero_slots_are_reported: "/info/slots" = json!(0) => "info.slots";
@@ -111,6 +127,48 @@
     assert_eq!((&*entry.region, entry.cold_for), ("north", Duration::from_millis(1_500)));
 }
 
+/// Writers that hold all numbers as decimals made their entry or the whole configuration unreadable.
+#[test]
+fn whole_numbers_may_be_written_as_decimals() {
+    let regions = IndexMap::from([("north-a".into(), "north".into())]);
+    let mut entry = target_entry();
+    entry["born"] = json!(5.0);
+    entry["info"]["slots"] = json!(6.0);
+    entry["status"]["cold_remaining_ms"] = json!(1.5e3);
+    let expected = decode_target("i", &target_entry(), &regions).unwrap();
+    assert_eq!(decode_target("i", &entry, &regions).unwrap(), expected);
+    let document = |numbers: [Value; 8]| {
+        let [timeout, objective, priority, attempts, customer, body, idle, absent] = numbers;
+        json!({ "version": "1", "resources": [
+            { "resource_kind": "routes", "metadata": { "name": "r" }, "spec": {
+                "hostname": "h", "path_prefix": "/", "route_type": "upload", "backend_service": "s",
+                "timeout_ms": timeout, "target_latency_ms": objective, "priority": priority, "max_attempts": attempts,
+            }},
+            { "resource_kind": "routes", "metadata": { "name": "q" }, "spec": {
+                "hostname": "g", "path_prefix": "/", "route_type": "upload", "backend_service": "s", "timeout_ms": absent,
+            }},
+            { "resource_kind": "tenants", "metadata": { "name": "t" }, "spec": { "priority": customer } },
+            { "resource_kind": "limits", "metadata": {}, "spec": { "max_body_bytes": body, "idle_timeout_ms": idle } },
+        ]})
+    };
+    let whole = [2_000, 250, 3, 2, 1, 64 << 20, 15_000].map(Value::from);
+    let decimal = [2e3, 250.0, 3.0, 2.0, 1.0, 67_108_864.0, 15_000.0].map(Value::from);
+    let decode = |numbers: [Value; 7]| {
+        let [a, b, c, d, e, f, g] = numbers;
+        decode_configuration(&document([a, b, c, d, e, f, g, Value::Null])).unwrap()
+    };
+    assert_eq!(decode(decimal), decode(whole));
+}
+
+#[test]
+fn revisions_may_be_written_as_decimals() {
+    let page =
+        br#"{"items":[{"metadata":{"name":"a","revision":7.0}}],"more":false,"current_rev":9.0}"#;
+    let answer = ListAnswer::decode(page).unwrap();
+    assert_eq!((answer.current_rev, answer.items[0].as_ref().unwrap().revision), (9, 7));
+    assert!(ListAnswer::decode(br#"{"items":[],"more":false,"current_rev":9.5}"#).is_err());
+}
+
 #[test]
 fn the_key_and_a_forged_customer_are_removed() {
     let mut headers = HeaderMap::new();
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod silent_store;
 mod state;
 mod troubled_days;
+mod unreadable;
 mod upload_answers;
 mod upload_caller;
 mod upload_stops;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -34,6 +34,7 @@
 pub use pause_ledger::BusiestPause;
 pub use pause_ledger::PauseLedger;
 pub use platform_store::PlatformStore;
+pub use platform_store::RawObject;
 pub use platform_store::StoreCopy;
 pub use platform_store::StoreFault;
 pub use platform_target::CrashTrigger;
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -17,18 +18,18 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
-use serde_json::json;
 use tokio::sync::watch;
 
 use crate::http_server::AnswerWithheld;
 use crate::http_server::HttpServer;
 use crate::http_server::ServerBody;
 use crate::http_server::ServerResult;
-use crate::http_server::json_answer;
 use crate::http_server::plain_answer;
 use crate::http_server::query_number;
 use crate::http_server::query_value;
+use crate::http_server::whole_body;
 
 /// Number of objects in one page of a list.
 const PAGE_SIZE: usize = 3;
@@ -61,11 +62,22 @@
 #[derive(Clone, Default)]
 pub struct StoreCopy {
     revision: u64,
-    objects: IndexMap<(Box<str>, Box<str>), Value>,
-    events: VecDeque<(u64, Box<str>, Value)>,
+    objects: IndexMap<(Box<str>, Box<str>), RawObject>,
+    events: VecDeque<(u64, Box<str>, Bytes)>,
     history_start: u64,
 }
 
+/// An object as the store sends it. Each field is sent byte for byte, so that it may hold what a JSON decoder rejects.
+#[derive(Clone, Debug)]
+pub struct RawObject {
+    /// JSON text of the name.
+    pub name: Bytes,
+    /// JSON text of the revision.
+    pub revision: Bytes,
+    /// JSON text of the body.
+    pub spec: Bytes,
+}
+
 /// Running stand-in for the platform's object store; dropping it stops the server.
 pub struct PlatformStore {
     table: Arc<Mutex<StoreTable>>,
@@ -97,17 +109,30 @@
 
     /// Writes an object with this `spec` and returns its revision.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        let name_text = Value::from(name).to_string();
+        let spec = spec.to_string();
+        self.write(kind, name, |revision| RawObject::new(name_text, revision, spec))
+    }
+
+    /// Writes an object with this body, which is sent byte for byte, and returns its revision.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: impl Into<Bytes>) -> u64 {
+        let (name_text, spec) = (Value::from(name).to_string(), spec.into());
+        self.write(kind, name, |revision| RawObject::new(name_text, revision, spec))
+    }
+
+    /// Writes an object that is sent byte for byte. `name` is its place in the lists.
+    pub fn put_object(&self, kind: &str, name: &str, object: RawObject) -> u64 {
+        self.write(kind, name, |_| object)
+    }
+
+    fn write(&self, kind: &str, name: &str, object: impl FnOnce(u64) -> RawObject) -> u64 {
         let mut table = lock_table(&self.table);
         let contents = &mut table.contents;
         contents.revision += 1;
         let revision = contents.revision;
-        let object = json!({
-            "metadata": { "name": name, "revision": revision, "finalizers": [], "deleting": false },
-            "spec": spec,
-            "status": null,
-        });
-        contents.objects.insert((kind.into(), name.into()), object.clone());
-        contents.record_event(kind, json!({ "deleted": false, "object": object }));
+        let object = object(revision);
+        contents.record_event(kind, object.event(false));
+        contents.objects.insert((kind.into(), name.into()), object);
         drop(table);
         self.changed.send_replace(revision);
         revision
@@ -117,13 +142,13 @@
     pub fn remove(&self, kind: &str, name: &str) {
         let mut table = lock_table(&self.table);
         let contents = &mut table.contents;
-        let Some(mut object) = contents.objects.shift_remove(&(kind.into(), name.into())) else {
+        let Some(object) = contents.objects.shift_remove(&(kind.into(), name.into())) else {
             return;
         };
         contents.revision += 1;
         let revision = contents.revision;
-        object["metadata"]["revision"] = revision.into();
-        contents.record_event(kind, json!({ "deleted": true, "object": object }));
+        let object = RawObject { revision: revision.to_string().into(), ..object };
+        contents.record_event(kind, object.event(true));
         drop(table);
         self.changed.send_replace(revision);
     }
@@ -172,8 +197,33 @@
     }
 }
 
+impl RawObject {
+    fn new(name: String, revision: u64, spec: impl Into<Bytes>) -> Self {
+        Self { name: name.into(), revision: revision.to_string().into(), spec: spec.into() }
+    }
+
+    fn text(&self) -> Vec<u8> {
+        let Self { name, revision, spec } = self;
+        let parts: [&[u8]; 7] = [
+            b"{\"metadata\":{\"name\":",
+            name,
+            b",\"revision\":",
+            revision,
+            b",\"finalizers\":[],\"deleting\":false},\"spec\":",
+            spec,
+            b",\"status\":null}",
+        ];
+        parts.concat()
+    }
+
+    fn event(&self, is_deleted: bool) -> Bytes {
+        let head = format!("{{\"deleted\":{is_deleted},\"object\":");
+        [head.as_bytes(), &self.text(), b"}"].concat().into()
+    }
+}
+
 impl StoreCopy {
-    fn record_event(&mut self, kind: &str, event: Value) {
+    fn record_event(&mut self, kind: &str, event: Bytes) {
         self.events.push_back((self.revision, kind.into(), event));
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
@@ -181,21 +231,29 @@
         }
     }
 
-    fn list(&self, kind: &str, after: &str) -> Value {
+    fn list(&self, kind: &str, after: &str) -> Vec<u8> {
         let mut names: Vec<_> = self.objects.keys().filter(|key| &*key.0 == kind).collect();
         names.sort();
         let mut rest = names.into_iter().filter(|key| &*key.1 > after);
-        let items: Vec<_> = rest.by_ref().take(PAGE_SIZE).map(|key| &self.objects[key]).collect();
-        json!({ "items": items, "more": rest.next().is_some(), "current_rev": self.revision })
+        let items: Vec<_> =
+            rest.by_ref().take(PAGE_SIZE).map(|key| self.objects[key].text()).collect();
+        let (more, revision) = (rest.next().is_some(), self.revision);
+        let tail = format!("],\"more\":{more},\"current_rev\":{revision}}}");
+        [b"{\"items\":[", items.join(&b',').as_slice(), tail.as_bytes()].concat()
     }
 
     /// Events of a kind after a revision; `None` if some of them have been dropped or the revision was never reached.
-    fn events_after(&self, kind: &str, after: u64) -> Option<Vec<&Value>> {
+    fn events_after(&self, kind: &str, after: u64) -> Option<Vec<Bytes>> {
         if after + 1 < self.history_start || after > self.revision {
             return None;
         }
         let events = self.events.iter().filter(|event| event.0 > after && &*event.1 == kind);
-        Some(events.map(|event| &event.2).collect())
+        Some(events.map(|event| event.2.clone()).collect())
+    }
+
+    fn watch_text(&self, events: &[Bytes]) -> Vec<u8> {
+        let tail = format!("],\"current_rev\":{}}}", self.revision);
+        [b"{\"events\":[", events.join(&b',').as_slice(), tail.as_bytes()].concat()
     }
 }
 
@@ -227,7 +285,9 @@
     let Some(after) = query_number(&request, "watch") else {
         let table = lock_table(&table);
         let after = query_value(&request, "after").unwrap_or_default();
-        return apply_fault(table.fault, json_answer(&table.contents.list(&kind, after)));
+        let spaced = after.replace('+', " ");
+        let after = percent_decode_str(&spaced).decode_utf8_lossy();
+        return apply_fault(table.fault, list_answer(table.contents.list(&kind, &after)));
     };
     let wait = Duration::from_millis(query_number(&request, "wait_ms").unwrap_or(0));
     let end = tokio::time::Instant::now() + wait;
@@ -236,17 +296,16 @@
         {
             let table = lock_table(&table);
             let contents = &table.contents;
-            let watch_reply = contents.events_after(&kind, after).map(|events| {
-                (!events.is_empty())
-                    .then(|| json!({ "events": events, "current_rev": contents.revision }))
-            });
+            let watch_reply = contents
+                .events_after(&kind, after)
+                .map(|events| (!events.is_empty()).then(|| contents.watch_text(&events)));
             match watch_reply {
                 _ if table.fault == StoreFault::StalledWatches => {}
                 _ if table.fault != StoreFault::None => {
                     return apply_fault(table.fault, plain_answer(StatusCode::OK, ""));
                 }
                 None => return Ok(plain_answer(StatusCode::GONE, "the history is gone")),
-                Some(Some(watch_reply)) => return Ok(json_answer(&watch_reply)),
+                Some(Some(watch_reply)) => return Ok(list_answer(watch_reply)),
                 Some(None) => {}
             }
         }
@@ -254,7 +313,7 @@
             let contents = &lock_table(&table).contents;
             return Ok(match contents.events_after(&kind, after) {
                 None => plain_answer(StatusCode::GONE, "the history is gone"),
-                Some(_) => json_answer(&json!({ "events": [], "current_rev": contents.revision })),
+                Some(_) => list_answer(contents.watch_text(&[])),
             });
         }
     }
@@ -284,6 +343,8 @@
         }
         _ => {
             contents.revision += 1;
+            let name = Value::from(&*key.1).to_string();
+            let object = RawObject::new(name, contents.revision, object["spec"].to_string());
             contents.objects.insert(key, object);
             StatusCode::OK
         }
@@ -291,6 +352,10 @@
     Ok(plain_answer(status, "{}"))
 }
 
+fn list_answer(text: Vec<u8>) -> Response<ServerBody> {
+    Response::new(whole_body(text))
+}
+
 fn apply_fault(fault: StoreFault, response: Response<ServerBody>) -> ServerResult {
     match fault {
         StoreFault::None | StoreFault::StalledWatches => Ok(response),
