Store: a domain that was cut off is told from an outage of the store

Cause: hosts that were cut off together saw no host that followed the store and took that for an outage. For 2.5 s after the return they kept each target that went missing for another 2 s.

Change: each host keeps the span in which the store answered some host without a pause above 2 s and tells it in heartbeats as two ages (`store_seen`). A span that reaches over the whole loss shows that there was no outage; missing targets are dropped at once.

--- a/crates/buckthornturn/src/entry/entry_core.rs
+++ b/crates/buckthornturn/src/entry/entry_core.rs
@@ -1,7 +1,6 @@
 //! State of an entry host that routing decisions read and change, guarded by one lock.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 use std::time::Instant;
 
 use coordination::fleet::BalancerHost;
@@ -17,8 +16,10 @@
 use coordination::fleet::QuotaLedger;
 use coordination::fleet::RetryAllowance;
 use coordination::fleet::RouteSplit;
+use coordination::fleet::SightingReport;
 use coordination::fleet::StateVersion;
 use coordination::fleet::StoreContact;
+use coordination::fleet::StoreSightings;
 use coordination::fleet::TargetBalancer;
 use coordination::fleet::TargetEntry;
 use coordination::fleet::TargetReach;
@@ -39,13 +40,6 @@
 use crate::interface::StatePart;
 use crate::membership::HostIdentity;
 
-/// Time for which a target stays in use after its entry went missing around an outage of the store. The platform restores
-/// the entries of live targets within about two seconds of the store's return.
-const MISSING_TARGET_GRACE: Duration = Duration::from_millis(2_000);
-
-/// Time after an outage of the store in which entries of live targets may be missing.
-const OUTAGE_RECOVERY_TIME: Duration = Duration::from_millis(2_500);
-
 /// Change of a share of requests outside the region from which it is logged.
 const LOGGED_SPILL_CHANGE: f64 = 0.1;
 
@@ -75,8 +69,8 @@
     pub(super) store_contacts: [StoreContact; StatePart::ALL.len()],
     /// Whether the latest heartbeat said that this host follows the store.
     pub(super) published_follows_store: bool,
-    /// When the store was last found to answer no host, after this host had read its targets.
-    pub(super) store_lost_at: Option<Instant>,
+    /// When the store answered some host, and whether it was lost for all.
+    pub(super) sightings: StoreSightings,
     pub(super) last_answer_at: [Instant; StatePart::ALL.len()],
     pub(super) heartbeat_number: u64,
     pub(super) warnings: WarningThrottle,
@@ -111,7 +105,7 @@
             has_joined: false,
             store_contacts: [StoreContact::default(); StatePart::ALL.len()],
             published_follows_store: false,
-            store_lost_at: None,
+            sightings: StoreSightings::new(Instant::now()),
             last_answer_at: [Instant::now(); StatePart::ALL.len()],
             heartbeat_number: 0,
             warnings: WarningThrottle::default(),
@@ -205,19 +199,27 @@
         self.store_contacts.iter().all(StoreContact::follows_store)
     }
 
-    /// Whether the store was recently lost for the whole fleet, so that entries of live targets may be missing.
-    pub fn is_after_outage(&self, now: Instant) -> bool {
-        self.store_lost_at
-            .is_some_and(|at| now.saturating_duration_since(at) < OUTAGE_RECOVERY_TIME)
+    /// Takes over when the store answered other hosts. If it did so throughout, this host and those of its failure domain were
+    /// cut off, and the targets that it kept as missing are gone.
+    pub(super) fn merge_sighting(&mut self, report: SightingReport, now: Instant) {
+        if self.sightings.merge_report(report, now) {
+            let count = self.missing_targets.len() as u64;
+            info!("host was cut off, the store was not lost", kv: { missing: = count });
+            if !self.sightings.is_after_copy(now) {
+                self.missing_targets.values_mut().for_each(|until| *until = now);
+                self.remove_expired_targets(now);
+            }
+        }
     }
 
     /// Records an outage of the store if neither this host nor a live one follows it. A host that alone is cut off from
-    /// the store sees no outage, because the entries of live targets expire only if the store is lost for all.
+    /// the store sees no outage, because the entries of live targets expire only if the store is lost for all. Hosts that are
+    /// cut off together see one until another host reports otherwise.
     pub(super) fn update_outage(&mut self, now: Instant) {
         let is_followed = self.store_contacts.iter().any(StoreContact::follows_store)
             || self.roster.live_hosts(now).any(|news| news.follows_store);
         if self.has_read_targets && !is_followed {
-            self.store_lost_at = Some(now);
+            self.sightings.record_outage(now);
         }
     }
 
@@ -252,18 +254,18 @@
     pub(super) fn begin_era(&mut self, part: StatePart, version: StateVersion, now: Instant) {
         let known = self.histories[part as usize].version();
         warn!("store came back from an older copy", kv: { part: = part.name(), version:, known: });
-        self.store_lost_at = Some(now);
+        self.sightings.record_copy(now);
         if part == StatePart::Targets {
             self.board.begin_era(now);
         }
     }
 
     /// Applies a change of targets or failure domains.
-    pub(super) fn apply_change(&mut self, change: StateChange, is_outage: bool, now: Instant) {
+    pub(super) fn apply_change(&mut self, change: StateChange, now: Instant) {
         match change {
             StateChange::Configuration(_) => {}
             StateChange::Target(entry) => self.upsert_target(entry, now),
-            StateChange::TargetGone(target) => self.remove_target(target, is_outage, now),
+            StateChange::TargetGone(target) => self.remove_target(target, now),
             StateChange::DomainClosed(domain) => self.closed.close(domain),
             StateChange::DomainOpened(domain) => self.closed.open(&domain),
         }
@@ -303,25 +305,26 @@
         }
     }
 
-    pub(super) fn remove_target(&mut self, target: TargetId, is_outage: bool, now: Instant) {
-        match is_outage && self.board.accepts_requests(&target) {
-            true => {
+    /// Removes a target whose entry is gone, or keeps it for a time if entries of live targets may be missing.
+    pub(super) fn remove_target(&mut self, target: TargetId, now: Instant) {
+        let grace_end = self.sightings.grace_end(now);
+        match grace_end.filter(|_| self.board.accepts_requests(&target)) {
+            Some(until) => {
                 info!("target may come back", kv: { target: });
-                self.missing_targets.entry(target).or_insert(now + MISSING_TARGET_GRACE);
+                self.missing_targets.entry(target).or_insert(until);
             }
-            false if self.board.remove_target(&target, now) => {
-                info!("target is gone", kv: { target: })
-            }
-            false => {}
+            None => self.drop_target(&target, now),
+        }
+    }
+
+    fn drop_target(&mut self, target: &TargetId, now: Instant) {
+        self.missing_targets.shift_remove(target);
+        if self.board.remove_target(target, now) {
+            info!("target is gone", kv: { target: });
         }
     }
 
-    pub(super) fn retain_listed_targets(
-        &mut self,
-        changes: &[StateChange],
-        is_outage: bool,
-        now: Instant,
-    ) {
+    pub(super) fn retain_listed_targets(&mut self, changes: &[StateChange], now: Instant) {
         let listed: IndexSet<&str> = changes
             .iter()
             .filter_map(|change| match change {
@@ -331,7 +334,7 @@
             .collect();
         let missing = self.board.target_names().filter(|name| !listed.contains(&***name)).cloned();
         for target in missing.collect::<Vec<_>>() {
-            self.remove_target(target, is_outage, now);
+            self.remove_target(target, now);
         }
     }
 
@@ -343,8 +346,7 @@
             .map(|(target, _)| target.clone())
             .collect();
         for target in due {
-            self.missing_targets.shift_remove(&target);
-            self.remove_target(target, false, now);
+            self.drop_target(&target, now);
         }
     }
 }
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -124,9 +124,8 @@
 
     /// Applies a batch of changes to a part and wakes the hosts that follow this one. With `is_whole` the batch is the whole
     /// part, so that objects missing from it are removed; only such a batch may be of another era than the known state, and
-    /// one of an earlier era changes nothing. With `is_outage` the store was unavailable recently, so that a target that went
-    /// missing gets time to come back.
-    pub fn apply_batch(&self, part: StatePart, batch: StateBatch, is_whole: bool, is_outage: bool) {
+    /// one of an earlier era changes nothing. After an outage of the store a target that went missing gets time to come back.
+    pub fn apply_batch(&self, part: StatePart, batch: StateBatch, is_whole: bool) {
         let now = Instant::now();
         let mut core = self.lock();
         let known = core.histories[part as usize].version();
@@ -139,10 +138,9 @@
         if is_new_era {
             core.begin_era(part, batch.version(), now);
         }
-        let is_outage = is_outage || core.is_after_outage(now);
         core.histories[part as usize].record(&batch, is_whole);
         if is_whole && part == StatePart::Targets {
-            core.retain_listed_targets(&batch.changes, is_outage, now);
+            core.retain_listed_targets(&batch.changes, now);
         }
         if is_whole && part == StatePart::ClosedDomains {
             core.closed.clear_listed(is_new_era, now);
@@ -152,7 +150,7 @@
         for change in batch.changes {
             match change {
                 StateChange::Configuration(configuration) => newest = Some(configuration),
-                change => core.apply_change(change, is_outage, now),
+                change => core.apply_change(change, now),
             }
         }
         if let Some(configuration) = newest {
@@ -255,7 +253,7 @@
     pub fn apply_snapshot(&self, part: StatePart, snapshot: StateBatch) -> bool {
         let is_later = self.lock().is_later(part, &snapshot);
         if is_later {
-            self.apply_batch(part, snapshot, true, false);
+            self.apply_batch(part, snapshot, true);
         }
         is_later
     }
@@ -274,6 +272,9 @@
     pub fn record_answer(&self, part: StatePart, route: StateRoute) {
         let mut core = self.lock();
         core.last_answer_at[part as usize] = Instant::now();
+        if route == StateRoute::Store {
+            core.sightings.record_answer(Instant::now());
+        }
         let contact = &mut core.store_contacts[part as usize];
         match route {
             StateRoute::Store => contact.record_answer(),
--- a/crates/buckthornturn/src/entry/fleet_view.rs
+++ b/crates/buckthornturn/src/entry/fleet_view.rs
@@ -115,6 +115,7 @@
             configuration_number: core.configuration_number,
             reaches_store: core.reaches_store(),
             follows_store: core.follows_store(),
+            store_seen: core.sightings.report(Instant::now()),
             reaches_targets: !core.reach.is_lost(),
             fleet: core.roster.known_hosts().count() + 1,
             demand: IndexMap::new(),
--- a/crates/buckthornturn/src/entry/gossip_loop.rs
+++ b/crates/buckthornturn/src/entry/gossip_loop.rs
@@ -188,6 +188,7 @@
             return;
         }
         let (receiver, asks) = (message.own.mesh, message.asks);
+        let store_seen = message.own.store_seen;
         let is_new_host = {
             let mut core = self.state.lock();
             let is_known =
@@ -203,6 +204,9 @@
             for news in message.others.into_iter().filter(|news| news.host != *own) {
                 core.roster.record_heartbeat(news, false, now);
             }
+            if let Some(report) = store_seen {
+                core.merge_sighting(report, now);
+            }
             core.board.merge_failure_reports(&message.failing, now);
             for (report, change) in core.board.merge_limit_reports(&message.limits, now) {
                 log_limit_change(&report.target, report.rate, change);
--- a/crates/buckthornturn/src/entry/state_follower.rs
+++ b/crates/buckthornturn/src/entry/state_follower.rs
@@ -102,8 +102,7 @@
                     self.state.metrics().count_unreadable(self.part.name(), batch.unreadable);
                     let has_changes = !batch.changes.is_empty();
                     let after = batch.version();
-                    let is_outage = self.state.lock().is_after_outage(Instant::now());
-                    self.state.apply_batch(self.part, batch, is_whole, is_outage);
+                    self.state.apply_batch(self.part, batch, is_whole);
                     self.after = Some(after);
                     if has_changes {
                         tokio::time::sleep(COALESCE_TIME).await;
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -4,6 +4,7 @@
 
 mod copies;
 mod crashes;
+mod cut_hosts;
 mod endless_answers;
 mod entry_fleet;
 mod eras;
--- a/crates/coordination/benches/fleet_cost.rs
+++ b/crates/coordination/benches/fleet_cost.rs
@@ -111,6 +111,7 @@
         configuration_number: 0,
         reaches_store: true,
         follows_store: false,
+        store_seen: None,
         reaches_targets: true,
         fleet: 1,
         demand: IndexMap::new(),
--- a/crates/coordination/src/fleet/host_heartbeat.rs
+++ b/crates/coordination/src/fleet/host_heartbeat.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::ConfigurationPosition;
 use crate::fleet::RegionLoads;
+use crate::fleet::SightingReport;
 use crate::fleet::StateVersion;
 use crate::ids::ConfigurationNumber;
 use crate::ids::CustomerId;
@@ -65,6 +66,10 @@
     /// Whether the host follows the store itself and its latest calls were answered.
     #[serde(default)]
     pub follows_store: bool,
+    /// When the store answered some host, as far as the host knows; `None` in a heartbeat that another host forwards, whose
+    /// age is not known.
+    #[serde(default)]
+    pub store_seen: Option<SightingReport>,
     /// Whether the host can open connections to targets.
     #[serde(default = "reaches_by_default")]
     pub reaches_targets: bool,
@@ -109,14 +114,15 @@
         self.eras.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the heartbeat without demand, spill and loads. These are the bulk of it and soon out of date, so that hosts
-    /// send only their own.
+    /// Returns the heartbeat without demand, spill and loads, which are the bulk of it, and without ages. All of these are soon
+    /// out of date, so that hosts send only their own.
     pub fn without_measurements(&self) -> Self {
         let empty = (IndexMap::new(), IndexMap::new(), IndexMap::new());
         Self {
             demand: empty.0,
             spill: empty.1,
             loads: empty.2,
+            store_seen: None,
             host: self.host.clone(),
             failure_domain: self.failure_domain.clone(),
             region: self.region.clone(),
--- a/crates/coordination/tests/support/heartbeats.rs
+++ b/crates/coordination/tests/support/heartbeats.rs
@@ -21,6 +21,7 @@
         configuration_number: 0,
         reaches_store: true,
         follows_store: true,
+        store_seen: None,
         reaches_targets: true,
         fleet: 1,
         demand: IndexMap::new(),
