--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod endless_answers;
 mod entry_fleet;
 mod eras;
+mod host_restarts;
 mod leaving;
 mod limits;
 mod lost_links;
