--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -4,9 +4,11 @@
 
 mod copies;
 mod crashes;
+mod cut_hosts;
 mod endless_answers;
 mod entry_fleet;
 mod eras;
+mod host_restarts;
 mod leaving;
 mod limits;
 mod lost_links;
@@ -19,6 +21,7 @@
 mod silent_store;
 mod state;
 mod troubled_days;
+mod unreadable;
 mod upload_answers;
 mod upload_caller;
 mod upload_stops;
