--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -24,6 +24,7 @@
 use crate::sockets::IdleSocket;
 use crate::sockets::OutgoingStream;
 use crate::sockets::RequestSocket;
+use crate::sockets::set_no_delay;
 
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
@@ -118,7 +119,7 @@
             Ok(stream) => stream.context(ConnectSnafu)?,
             Err(_) => return TimedOutSnafu.fail(),
         };
-        stream.set_nodelay(true).context(ConnectSnafu)?;
+        set_no_delay(&stream);
         let (stream, socket) = OutgoingStream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/buckthornturn/src/sockets/socket_option.rs
+++ b/crates/buckthornturn/src/sockets/socket_option.rs
@@ -4,7 +4,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use socket2::SockRef;
 use spdlog::warn;
+use tokio::net::TcpStream;
+
+static NO_DELAY: SocketOption = SocketOption::new("TCP_NODELAY");
 
 /// Option of a socket that the system may not know. The connection is used without it.
 pub(crate) struct SocketOption {
@@ -30,3 +34,8 @@
         }
     }
 }
+
+/// Sends small parts of requests at once, where the system knows the option.
+pub(crate) fn set_no_delay(stream: &TcpStream) {
+    NO_DELAY.check(SockRef::from(stream).set_tcp_nodelay(true));
+}
--- a/crates/buckthornturn/src/store/connection_pool.rs
+++ b/crates/buckthornturn/src/store/connection_pool.rs
@@ -18,6 +18,7 @@
 use crate::sockets::IdleSocket;
 use crate::sockets::OutgoingStream;
 use crate::sockets::RequestSocket;
+use crate::sockets::set_no_delay;
 
 /// Idle connections that are kept open.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -73,7 +74,7 @@
                 return Ok(idle.acquire(true, permit));
             }
             let stream = self.dialer.dial(self.address).await.map_err(error_text)?;
-            stream.set_nodelay(true).map_err(error_text)?;
+            set_no_delay(&stream);
             let (stream, socket) = OutgoingStream::new(stream);
             let (sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(error_text)?;
