--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod entry_fleet;
 mod eras;
 mod host_restarts;
+mod heads;
 mod leaving;
 mod limits;
 mod lost_links;
