Admission: routes of different priority share a service by priority, customer and deadline

Cause: each request was admitted by its own objective alone. Where two routes share targets, the one with long work and a wide objective filled slots and queues, and the urgent one was late or refused.

Change: a service that routes of at least two priorities may use has an admission policy. Less urgent requests need a free slot within a share of the slots that shrinks while urgent ones would be late for waits; each priority keeps a guaranteed part; customers above twice the mean come later. Refusals are `deferred`, with a Retry-After drawn from the time in which the request can still be served. Services with one priority are decided as before.

--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -387,6 +387,7 @@
         core.board.set_services(
             services.map(|(name, spec)| (name.clone(), spec.cold_rate, spec.cold_time)),
         );
+        core.board.set_route_priorities(&configuration.route_priorities());
         let customers = configuration.customers.iter();
         let limits = customers.map(|(name, customer)| (name.clone(), customer.limit));
         core.quotas.set_limits(limits, self.token_time());
--- a/crates/buckthornturn/src/entry/proxy_refusals.rs
+++ b/crates/buckthornturn/src/entry/proxy_refusals.rs
@@ -36,6 +36,10 @@
                 Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy")
                     .retry_after(self.jittered_pause(wait))
             }
+            PlacementRefusal::Deferred { pause, .. } => {
+                Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "deferred")
+                    .retry_after(pause.max(RETRY_AFTER_BOUNDS.0))
+            }
         }
     }
 
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -337,6 +337,7 @@
         let ask = PlacementRequest {
             route: &facts.route.name,
             service,
+            customer: facts.customer.as_ref(),
             object_hash: facts.object_hash,
             allowed_regions: &facts.regions,
             excluded_targets: tried,
--- a/crates/buckthornturn/src/explain/request_report.rs
+++ b/crates/buckthornturn/src/explain/request_report.rs
@@ -53,6 +53,10 @@
                 "refused before it was sent: the shortest expected wait at any target was {wait} ms, with {pressure} requests \
                  per slot in the region"
             ),
+            "deferred" => format!(
+                "refused before it was sent: capacity is short and requests of higher priority, or customers that got less, came \
+                 first; the shortest expected wait at any target was {wait} ms, with {pressure} requests per slot in the region"
+            ),
             "rate-exceeded" => format!("refused by the customer's rate limit: {}", self.explain_tokens()),
             "targets-unreachable" => "refused before it was sent: this host reached no target, and knew no other host that did".into(),
             "configuration-behind" => "refused before it was sent: this host did not have the configuration that the forwarding host had".into(),
--- a/crates/buckthornturn/src/platform/tests.rs
+++ b/crates/buckthornturn/src/platform/tests.rs
@@ -88,6 +88,23 @@
     }
 }
 
+/// Guards against admission by priority for services whose routes have one priority, and without it for others.
+#[test]
+fn priorities_are_those_of_the_routes_of_a_service() {
+    let spec = |prefix: &str, service: &str, priority: u32| {
+        json!({ "resource_kind": "routes", "metadata": { "name": prefix }, "spec": {
+            "hostname": "h", "path_prefix": prefix, "route_type": "idempotent", "backend_service": service,
+            "priority": priority
+        }})
+    };
+    let resources = [spec("/a/", "shared", 0), spec("/b/", "shared", 2), spec("/c/", "own", 1)];
+    let configuration =
+        decode_configuration(&json!({ "version": "1", "resources": resources })).unwrap();
+    let priorities = configuration.route_priorities();
+    assert_eq!(priorities["shared"], [0, 2].into());
+    assert_eq!(priorities["own"], [1].into());
+}
+
 #[test]
 fn the_longest_prefix_wins() {
     let spec = |prefix: &str, service: &str| {
--- a/crates/coordination/benches/fleet_cost.rs
+++ b/crates/coordination/benches/fleet_cost.rs
@@ -66,6 +66,7 @@
                 let request = PlacementRequest {
                     route: &route,
                     service: &service,
+                    customer: None,
                     object_hash: Some((object % 300).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
                     allowed_regions: &[],
                     excluded_targets: &[],
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -1,11 +1,15 @@
 //! Decisions that each entry host makes on its own: host liveness, distributed rate limits of customers, and placement
 //! of requests on targets under overload.
 
+mod admission_limit;
+mod admission_policy;
+mod admission_recording;
 mod attempt_recording;
 mod candidate_scoring;
 mod closed_domains;
 mod crash_ledger;
 mod customer_share;
+mod customer_usage;
 mod departed_targets;
 mod failure_estimate;
 mod failure_reports;
--- a/crates/coordination/src/fleet/placement_candidate.rs
+++ b/crates/coordination/src/fleet/placement_candidate.rs
@@ -5,6 +5,7 @@
 use crate::fleet::ObjectWarmth;
 use crate::fleet::PlacementChoice;
 use crate::fleet::PlacementRequest;
+use crate::fleet::admission_limit::AdmissionLimit;
 use crate::fleet::target_balancer::TargetRecord;
 
 /// Likelihood that an object is warm on the first-, second- and third-ranked target of the own region.
@@ -100,11 +101,16 @@
     !is_hopeless && (is_timely || candidate.wait_seconds <= seconds_of(LATE_WAIT_SHARE))
 }
 
+/// Keeps a candidate if the request is worth running there and, in a service with routes of different priority, admitted.
 pub(super) fn filter_acceptable<'a>(
     candidate: Option<Candidate<'a>>,
     request: &PlacementRequest<'_>,
+    limit: Option<AdmissionLimit>,
+    pressure: RegionPressure,
 ) -> Option<Candidate<'a>> {
-    candidate.filter(|found| is_acceptable(found, request))
+    let admits =
+        |found: &Candidate<'a>| limit.is_none_or(|limit| limit.admits(found, request, pressure));
+    candidate.filter(|found| is_acceptable(found, request) && admits(found))
 }
 
 impl KeyRanks {
--- a/crates/coordination/src/fleet/placement_request.rs
+++ b/crates/coordination/src/fleet/placement_request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::fleet::ObjectWarmth;
+use crate::ids::CustomerId;
 use crate::ids::DomainId;
 use crate::ids::RegionId;
 use crate::ids::RouteId;
@@ -17,6 +18,8 @@
     pub route: &'a RouteId,
     /// Service whose targets may run the request.
     pub service: &'a ServiceId,
+    /// Customer that sent the request; `None` if it came without a key.
+    pub customer: Option<&'a CustomerId>,
     /// Hash of the object that the request concerns; `None` places it without regard to warm objects.
     pub object_hash: Option<u64>,
     /// Regions whose targets may run the request; an empty slice allows all.
@@ -76,4 +79,13 @@
         /// Estimated requests per slot of the service in this host's region.
         pressure: f64,
     },
+    /// Admission keeps the request from running now, because capacity is short and others come first.
+    Deferred {
+        /// Time after which the caller may ask again, drawn from the time in which capacity is expected to exist.
+        pause: Duration,
+        /// Expected wait on the cheapest target.
+        wait: Duration,
+        /// Estimated requests per slot of the service in this host's region.
+        pressure: f64,
+    },
 }
--- a/crates/coordination/src/fleet/service_record.rs
+++ b/crates/coordination/src/fleet/service_record.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::fleet::SpillController;
+use crate::fleet::admission_policy::AdmissionPolicy;
 use crate::fleet::home_warmth::HomeWarmth;
 use crate::fleet::placement_candidate::home_priors;
 use crate::fleet::region_split::RegionSplit;
@@ -53,6 +54,8 @@
     pub(super) other_loads: [AverageLoad; 2],
     /// What the other hosts of the region measured lately for the same two averages.
     pub(super) neighbour_loads: Option<RegionLoads>,
+    /// Admission of requests by priority; `None` unless routes of different priority use the service.
+    pub(super) admission: Option<AdmissionPolicy>,
     /// Warmth of objects on their homes, inside and outside the own region.
     pub(super) home_warmth: [HomeWarmth; 2],
 }
--- a/crates/coordination/src/fleet/side_choice.rs
+++ b/crates/coordination/src/fleet/side_choice.rs
@@ -154,8 +154,10 @@
         spill: &mut SpillController,
         now: Instant,
     ) -> SideChoice<'a> {
+        let limit = self.admission_limit(request, now);
         let find = |side: TargetSide| {
-            filter_acceptable(cheapest(candidates, |candidate| candidate.side == side), request)
+            let found = cheapest(candidates, |candidate| candidate.side == side);
+            filter_acceptable(found, request, limit, pressure)
         };
         let inside = find(TargetSide::Inside);
         let (outside, elsewhere) = (find(TargetSide::Outside), find(TargetSide::Elsewhere));
--- a/crates/coordination/src/fleet/target_balancer.rs
+++ b/crates/coordination/src/fleet/target_balancer.rs
@@ -19,6 +19,7 @@
 use crate::fleet::TargetLimit;
 use crate::fleet::TargetState;
 use crate::fleet::TargetTracker;
+use crate::fleet::admission_policy::AdmissionOutcome;
 use crate::fleet::departed_targets::DepartedTargets;
 use crate::fleet::departed_targets::TargetStatements;
 use crate::fleet::placement_candidate::TargetSide;
@@ -258,7 +259,8 @@
     /// # Errors
     ///
     /// Returns `NoTarget` if no target may run the request, `Limited` or `Paused` if only limits or pauses of targets keep it
-    /// from being sent now, and `Busy` if even the cheapest target that is open to it is expected to answer too late.
+    /// from being sent now, `Busy` if even the cheapest target that is open to it is expected to answer too late, and `Deferred` if
+    /// it is so, or others come first, in a service with routes of different priority.
     pub fn choose_target(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -272,6 +274,7 @@
         };
         let mut spill = self.spill_of(request.service, now);
         let side = self.choose_side(request, far_region, &candidates, pressure, &mut spill, now);
+        let outcome = AdmissionOutcome::new(request, side.candidate.as_ref(), &candidates);
         let is_counted = side.is_spilled && request.allowed_regions.is_empty();
         let selected = far_region.filter(|_| is_counted).cloned();
         let ran = side.candidate.filter(|chosen| chosen.side != TargetSide::Inside);
@@ -280,8 +283,7 @@
             Some(chosen) => Ok(chosen.choice(pressure.inside)),
             None => {
                 let has_inside = candidates.iter().any(|one| one.side == TargetSide::Inside);
-                let wait = Duration::from_secs_f64(best.wait_seconds);
-                let busy = PlacementRefusal::Busy { wait, pressure: pressure.inside };
+                let busy = self.busy_refusal(request, &best, pressure, now);
                 Err(match self.refusal_without_candidate(request, now) {
                     PlacementRefusal::NoTarget => busy,
                     _ if has_inside => busy,
@@ -290,6 +292,7 @@
             }
         };
         self.record_side(request.service, spill, selected, ran);
+        self.record_admission(request, outcome, now);
         if let Ok(choice) = &result {
             self.record_start(&choice.target, request.object_hash, now);
         }
--- a/crates/coordination/tests/support/fleet_parts.rs
+++ b/crates/coordination/tests/support/fleet_parts.rs
@@ -79,6 +79,7 @@
         let request = PlacementRequest {
             route: &"route".into(),
             service: &"service".into(),
+            customer: None,
             object_hash: Some(self.object.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             allowed_regions: &self.allowed_regions,
             excluded_targets: &self.excluded_targets,
--- a/crates/coordination/tests/support/overload_model.rs
+++ b/crates/coordination/tests/support/overload_model.rs
@@ -212,6 +212,7 @@
     let request = PlacementRequest {
         route: &route,
         service: &service,
+        customer: None,
         object_hash: Some(object.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         allowed_regions: &[],
         excluded_targets: &[],
