--- a/crates/coordination/tests/support/warm_model.rs
+++ b/crates/coordination/tests/support/warm_model.rs
@@ -272,6 +272,7 @@
             // A host does not know of the attempts before this one.
             latency_objective: OBJECTIVE,
             priority: 1,
+            customer: None,
         };
         let balancer = &mut self.hosts[host].1;
         let is_sent = match balancer.choose_target(&request, now) {
--- a/crates/coordination/tests/work_pace.rs
+++ b/crates/coordination/tests/work_pace.rs
@@ -88,6 +88,7 @@
             time_left: Duration::from_secs(4),
             latency_objective: OBJECTIVE,
             priority: 0,
+            customer: None,
         };
         self.balancer.choose_target(&request, self.now).unwrap()
     }
