Answers: a budget for what slow callers have not read

A streamed answer was received only as fast as its caller read it, so that a slow caller held the target's slot, and the target cut the answer off after some seconds. Answers up to 256 KiB were held whole without a bound on all of them.

`coordination::answer_budget` decides: 16 MiB for all answers of a host, 4 MiB for one. Within it a task receives a streamed answer to its end ahead of its caller (`entry/read_ahead.rs`, `streamed_body.rs`) and ends the attempt then; without room it waits for the caller with one part under way. Answers that are held whole draw on the same budget, and are streamed when it has no room. Parts that came are passed on before the fault of a cut answer.

--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::answer_budget::AnswerBudget;
 use coordination::fleet::AttemptEnd;
 use coordination::fleet::RequestFingerprint;
 use http::Request;
@@ -27,7 +28,6 @@
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
-use crate::callers::full_body;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::callers::is_closed_without_answer;
 use crate::callers::is_silent;
@@ -37,10 +37,10 @@
 use crate::entry::attempt_log::log_early_answer;
 use crate::entry::attempt_log::log_repeated_body;
 use crate::entry::buffered_body::BufferedBody;
-use crate::entry::buffered_body::StreamedAttempt;
 use crate::entry::buffered_body::buffer_body;
 use crate::entry::run_outcome::promises_not_run;
 use crate::entry::set_peer_marks;
+use crate::entry::streamed_body::StreamedAttempt;
 use crate::interface::AnswerHeaders;
 use crate::interface::CallerDialect;
 use crate::interface::TargetHeaders;
@@ -95,6 +95,7 @@
 pub struct AttemptRunner {
     pool: TargetPool,
     dialect: Arc<dyn CallerDialect>,
+    answers: Arc<AnswerBudget>,
 }
 
 enum SendResult {
@@ -107,9 +108,13 @@
 }
 
 impl AttemptRunner {
-    /// Creates a runner that takes connections from `pool` and writes and reads headers by `dialect`.
-    pub fn new(pool: TargetPool, dialect: Arc<dyn CallerDialect>) -> Self {
-        Self { pool, dialect }
+    /// Creates a runner that takes connections from `pool`, writes and reads headers by `dialect`, and holds answers within `answers`.
+    pub fn new(
+        pool: TargetPool,
+        dialect: Arc<dyn CallerDialect>,
+        answers: Arc<AnswerBudget>,
+    ) -> Self {
+        Self { pool, dialect, answers }
     }
 
     /// Sends a request to the target of `guard` and reports the end of the attempt. Idle connections are reused
@@ -281,7 +286,8 @@
         guard.finish(end, facts.load);
         // A connection that still sends the request is closed at once, so that it takes no more of the body.
         if connection.has_sent_request() {
-            let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
+            let body = buffer_body(body, &self.answers);
+            let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await;
             if let Ok(Ok(BufferedBody::Complete(_))) = body {
                 self.return_connection(key, connection, facts);
             }
@@ -301,19 +307,18 @@
         remove_hop_by_hop(&mut parts.headers);
         let leaving = (request.is_forwarded && facts.is_leaving).then(|| guard.choice());
         set_peer_marks(&mut parts.headers, leaving);
-        match buffer_body(body).await {
-            Ok(BufferedBody::Complete(bytes)) => {
+        match buffer_body(body, &self.answers).await {
+            Ok(BufferedBody::Complete(held)) => {
                 guard.finish_answered(parts.status, facts.load);
                 self.return_connection(key, connection, facts);
-                AttemptResult::Answered(Response::from_parts(parts, full_body(bytes)))
+                AttemptResult::Answered(Response::from_parts(parts, held.into_answer()))
             }
             Ok(BufferedBody::Streamed(stream)) => {
-                let end = request.facts.arrived_at + request.facts.caller_timeout;
-                let attempt = StreamedAttempt { guard, status: parts.status, load: facts.load };
-                let body = stream.with_connection(connection, request.upload.lease());
-                let body = body.with_attempt(attempt, end);
-                let body = body.boxed_unsync();
-                AttemptResult::Answered(Response::from_parts(parts, body))
+                let (status, load) = (parts.status, facts.load);
+                let deadline = request.facts.arrived_at + request.facts.caller_timeout;
+                let attempt = StreamedAttempt { guard, status, load, deadline };
+                let body = stream.receive(connection, request.upload.lease(), Some(attempt));
+                AttemptResult::Answered(Response::from_parts(parts, body.boxed_unsync()))
             }
             Err(_) => {
                 guard.finish(AttemptEnd::Failed, facts.load);
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -30,11 +30,13 @@
 mod proxy_refusals;
 mod proxy_service;
 mod reach_trial;
+mod read_ahead;
 mod request_facts;
 mod request_record;
 mod run_outcome;
 mod settings_watch;
 mod state_follower;
+mod streamed_body;
 mod warning_throttle;
 
 pub use attempt_guard::AttemptGuard;
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::answer_budget::AnswerBudget;
 use coordination::fleet::ConfigurationPosition;
 use coordination::fleet::HostHeartbeat;
 use coordination::fleet::LeavingReport;
@@ -30,7 +31,6 @@
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
-use crate::callers::full_body;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::EntryState;
 use crate::entry::OutgoingRequest;
@@ -64,15 +64,21 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
     pool: TargetPool,
+    answers: Arc<AnswerBudget>,
 }
 
 /// Answer of a peer, or the refusal for a request that was sent to one and has no answer.
 pub type ForwardResult = Result<Response<AnswerBody>, Refusal>;
 
 impl PeerForwarder {
-    /// Creates a forwarder that takes connections from `pool`.
-    pub fn new(state: Arc<EntryState>, dialect: Arc<dyn CallerDialect>, pool: TargetPool) -> Self {
-        Self { state, dialect, pool }
+    /// Creates a forwarder that takes connections from `pool` and holds answers within `answers`.
+    pub fn new(
+        state: Arc<EntryState>,
+        dialect: Arc<dyn CallerDialect>,
+        pool: TargetPool,
+        answers: Arc<AnswerBudget>,
+    ) -> Self {
+        Self { state, dialect, pool, answers }
     }
 
     /// Forwards a request to a peer and names the peer. `None` if no peer that reaches targets took it, so that it has not
@@ -200,17 +206,16 @@
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         self.record_leaving(&mut parts.headers);
-        match buffer_body(body).await.ok()? {
-            BufferedBody::Complete(bytes) => {
+        match buffer_body(body, &self.answers).await.ok()? {
+            BufferedBody::Complete(held) => {
                 if let Some(connection) = connection.release() {
                     self.pool.return_connection(key, connection, None);
                 }
-                Some(Response::from_parts(parts, full_body(bytes)))
+                Some(Response::from_parts(parts, held.into_answer()))
             }
             BufferedBody::Streamed(stream) => {
-                let body =
-                    stream.with_connection(connection, request.upload.lease()).boxed_unsync();
-                Some(Response::from_parts(parts, body))
+                let body = stream.receive(connection, request.upload.lease(), None);
+                Some(Response::from_parts(parts, body.boxed_unsync()))
             }
         }
     }
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::answer_budget::AnswerBudget;
 use coordination::fleet::PlacementChoice;
 use coordination::fleet::PlacementRefusal;
 use coordination::fleet::PlacementRequest;
@@ -78,8 +79,9 @@
         client: Arc<MeshClient>,
         reporter: Arc<CrashReporter>,
     ) -> Self {
-        let runner = AttemptRunner::new(pool.clone(), Arc::clone(&dialect));
-        let forwarder = PeerForwarder::new(Arc::clone(&state), Arc::clone(&dialect), pool);
+        let answers = Arc::<AnswerBudget>::default();
+        let runner = AttemptRunner::new(pool.clone(), Arc::clone(&dialect), Arc::clone(&answers));
+        let forwarder = PeerForwarder::new(Arc::clone(&state), Arc::clone(&dialect), pool, answers);
         Self { state, dialect, runner, forwarder, client, reporter }
     }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,5 +1,6 @@
 //! Coordination logic of buckthornturn. The crate does no I/O; time and randomness are passed in as arguments.
 
+pub mod answer_budget;
 pub mod append_attempt;
 pub mod blocks;
 pub mod borrow_plan;
