--- a/crates/buckthornturn/src/callers/body_fault.rs
+++ b/crates/buckthornturn/src/callers/body_fault.rs
@@ -22,6 +22,9 @@
     /// The body exceeds the size limit of the route.
     #[snafu(display("the body is larger than the route allows"))]
     TooLarge,
+    /// The process has no memory for the start that is needed before a target is chosen.
+    #[snafu(display("there is no memory for the start of the body"))]
+    NoMemory,
     /// A later attempt reads the body now, over another connection.
     #[snafu(display("another attempt reads the body now"))]
     Superseded,
--- a/crates/buckthornturn/src/callers/caller_body.rs
+++ b/crates/buckthornturn/src/callers/caller_body.rs
@@ -14,19 +14,22 @@
 use hyper::body::Incoming;
 
 use crate::callers::BodyFault;
+use crate::resources::BodyMeter;
 
 /// Body that ends without an error only if its sender has ended it.
 pub struct CallerBody {
     incoming: Incoming,
     is_http2: bool,
+    meter: Option<BodyMeter>,
 }
 
 impl CallerBody {
     /// Takes a request apart.
     pub fn split_request(request: Request<Incoming>) -> (Parts, Self) {
-        let (head, incoming) = request.into_parts();
+        let (mut head, incoming) = request.into_parts();
+        let meter = head.extensions.remove();
         let is_http2 = head.version == Version::HTTP_2;
-        (head, Self { incoming, is_http2 })
+        (head, Self { incoming, is_http2, meter })
     }
 }
 
@@ -39,7 +42,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
         let truncated = |reason| BodyFault::Truncated { reason };
-        Poll::Ready(match std::task::ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
+        let frame = std::task::ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        if self.incoming.is_end_stream() || !matches!(frame, Some(Ok(_))) {
+            self.meter.iter().for_each(BodyMeter::end);
+        }
+        Poll::Ready(match frame {
             Some(frame) => Some(frame.map_err(|error| truncated(error.to_string().into()))),
             // The HTTP library ends a body whose stream is reset with NO_ERROR as if it were whole.
             None if self.is_http2 && !self.incoming.is_end_stream() => {
--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -11,7 +11,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coordination::admission_bounds::ConnectionRole;
 use futures::FutureExt;
+use futures::future::BoxFuture;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -34,6 +36,12 @@
 use tokio_rustls::TlsAcceptor;
 
 use crate::callers::StallGuard;
+use crate::resources::ConnectionGate;
+use crate::resources::ConnectionMeter;
+use crate::resources::GatedConnection;
+use crate::resources::GuardedBody;
+use crate::resources::MeteredStream;
+use crate::resources::RequestGuard;
 use crate::settings::CallerBounds;
 use crate::tls::accept_tls;
 
@@ -62,13 +70,19 @@
     builder: Builder<TokioExecutor>,
     counts: ConnectionCounts,
     tls: Option<TlsAcceptor>,
+    gate: Option<Arc<ConnectionGate>>,
 }
 
+/// Answer to one request; its body ends the request in the meter of its connection.
+type ServiceFuture<B> =
+    BoxFuture<'static, Result<Response<GuardedBody<B, Option<RequestGuard>>>, Infallible>>;
+
 type ConnectionCounts = Arc<Mutex<IndexMap<IpAddr, usize>>>;
 
 struct ConnectionGuard {
     address: IpAddr,
     counts: ConnectionCounts,
+    place: Option<GatedConnection>,
 }
 
 impl ConnectionServer {
@@ -79,7 +93,8 @@
         phase: watch::Receiver<ServerPhase>,
     ) -> Self {
         let builder = server_builder(&bounds);
-        Self { listener, bounds, phase, builder, counts: ConnectionCounts::default(), tls: None }
+        let counts = ConnectionCounts::default();
+        Self { listener, bounds, phase, builder, counts, tls: None, gate: None }
     }
 
     /// Sets the TLS acceptor; with `None` the server accepts unencrypted connections.
@@ -87,6 +102,11 @@
         Self { tls, ..self }
     }
 
+    /// Lets connections draw on the budget of the process; with `None` only the bounds of callers apply.
+    pub fn with_gate(self, gate: Option<Arc<ConnectionGate>>) -> Self {
+        Self { gate, ..self }
+    }
+
     /// Passes each request with the caller's address to `handler`. Returns once the phase is `Closing` and the last
     /// connection has ended.
     pub async fn run<H, F, B>(self, handler: H)
@@ -145,20 +165,23 @@
         let (builder, phase) = (self.builder.clone(), self.phase.clone());
         let head_timeout = self.bounds.head_timeout();
         connections.spawn(async move {
-            let _guard = guard;
+            let guard = guard;
             let stream = match accept_tls(tls.as_ref(), stream).await {
                 Ok(stream) => stream,
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
+            let meter = guard.meter();
+            let stream = MeteredStream::new(stream, meter.clone());
             let io = TokioIo::new(StallGuard::new(stream, answer_idle));
             let has_request = Arc::new(AtomicBool::new(false));
             let service =
-                connection_service(handler, peer, phase.clone(), Arc::clone(&has_request));
+                connection_service(handler, peer, phase.clone(), Arc::clone(&has_request), meter);
             let mut connection = pin!(builder.serve_connection(io, service_fn(service)));
             let mut phase = phase;
             tokio::select! {
                 _ = connection.as_mut() => return,
                 () = wait_for_missing_request(&has_request, head_timeout) => return,
+                () = guard.wait_until_evicted() => return,
                 () = wait_until_settled(&mut phase) => connection.as_mut().graceful_shutdown(),
             }
             let _ = connection.await;
@@ -173,8 +196,26 @@
         if is_full {
             return None;
         }
+        let place = match &self.gate {
+            Some(gate) => Some(gate.admit(ConnectionRole::Caller)?),
+            None => None,
+        };
         counts.insert(address, count + 1);
-        Some(ConnectionGuard { address, counts: Arc::clone(&self.counts) })
+        Some(ConnectionGuard { address, counts: Arc::clone(&self.counts), place })
+    }
+}
+
+impl ConnectionGuard {
+    fn meter(&self) -> Option<ConnectionMeter> {
+        self.place.as_ref().map(GatedConnection::meter)
+    }
+
+    /// Waits until the connection is to be closed in favour of another one.
+    async fn wait_until_evicted(&self) {
+        match &self.place {
+            Some(place) => place.wait_until_evicted().await,
+            None => std::future::pending().await,
+        }
     }
 }
 
@@ -211,13 +252,15 @@
     peer: SocketAddr,
     phase: watch::Receiver<ServerPhase>,
     has_request: Arc<AtomicBool>,
-) -> impl Fn(Request<Incoming>) -> futures::future::BoxFuture<'static, Result<Response<B>, Infallible>>
+    meter: Option<ConnectionMeter>,
+) -> impl Fn(Request<Incoming>) -> ServiceFuture<B>
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Send + 'static,
 {
-    move |request| {
+    move |mut request| {
+        let guard = meter.as_ref().map(|meter| meter.start_request(&mut request));
         has_request.store(true, Ordering::Relaxed);
         let phase = phase.clone();
         let is_http1 = request.version() <= Version::HTTP_11;
@@ -228,7 +271,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok(response)
+            Ok(response.map(|body| GuardedBody::new(body, guard)))
         }
         .boxed()
     }
--- a/crates/buckthornturn/src/callers/target_pool.rs
+++ b/crates/buckthornturn/src/callers/target_pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::admission_bounds::ConnectionRole;
 use coordination::ids::CustomerId;
 use indexmap::IndexMap;
 use spdlog::warn;
@@ -17,6 +18,8 @@
 use crate::callers::Idle;
 use crate::callers::TargetConnection;
 use crate::interface::StreamDialer;
+use crate::resources::ConnectionGate;
+use crate::resources::GatedConnection;
 
 /// Largest number of idle connections to one target for one customer.
 const MAX_IDLE_PER_KEY: usize = 256;
@@ -42,6 +45,7 @@
 #[derive(Clone)]
 pub struct TargetPool {
     dialer: Arc<dyn StreamDialer>,
+    gate: Option<Arc<ConnectionGate>>,
     state: Arc<Mutex<PoolState>>,
 }
 
@@ -56,12 +60,18 @@
     connection: TargetConnection<Idle>,
     idle_since: Instant,
     reusable_until: Instant,
+    _place: Option<GatedConnection>,
 }
 
 impl TargetPool {
     /// Creates an empty pool, whose connections `dialer` opens.
     pub fn new(dialer: Arc<dyn StreamDialer>) -> Self {
-        Self { dialer, state: Arc::default() }
+        Self { dialer, gate: None, state: Arc::default() }
+    }
+
+    /// Lets idle connections draw on the budget of the process; those for which it has no room are closed.
+    pub fn with_gate(self, gate: Arc<ConnectionGate>) -> Self {
+        Self { gate: Some(gate), ..self }
     }
 
     /// Takes the connection that has been idle the longest, if it is reusable and was silent for long enough.
@@ -90,6 +100,11 @@
         connection: TargetConnection<Idle>,
         keep_for: Option<Duration>,
     ) {
+        let place = self.gate.as_ref().map(|gate| gate.admit_if_free(ConnectionRole::Outgoing));
+        let place = match place {
+            Some(None) => return,
+            place => place.flatten(),
+        };
         let now = Instant::now();
         let reusable_until = now + keep_for.unwrap_or(MAX_IDLE_AGE).min(MAX_IDLE_AGE);
         let mut state = self.lock();
@@ -101,7 +116,12 @@
         if idle.len() >= MAX_IDLE_PER_KEY {
             idle.pop_front();
         }
-        idle.push_back(IdleConnection { connection, idle_since: now, reusable_until });
+        idle.push_back(IdleConnection {
+            connection,
+            idle_since: now,
+            reusable_until,
+            _place: place,
+        });
     }
 
     /// Opens a new connection. Reuse for the target is suspended if the connection fails with a protocol error.
--- a/crates/buckthornturn/src/callers/upload_state.rs
+++ b/crates/buckthornturn/src/callers/upload_state.rs
@@ -257,15 +257,16 @@
             self.finished_at = Some(self.last_progress_at);
         }
         if let UploadStart::Buffered { parts, share } = &mut self.start {
-            parts.append(&data);
             let has_room = match rule {
-                BufferRule::Always => {
-                    share.grow_unbounded(data.len());
-                    true
+                // Nothing was sent yet, so that the body could not be sent without its start.
+                BufferRule::Always if !share.grow_needed(data.len()) => {
+                    return Err(BodyFault::NoMemory);
                 }
+                BufferRule::Always => true,
                 BufferRule::WithinBudget => share.grow(data.len()),
                 BufferRule::Never => false,
             };
+            parts.append(&data);
             if rule != BufferRule::Always {
                 self.sent_parts = parts.count();
             }
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::admission_budget::AdmissionBudget;
 use coordination::fleet::AttemptEnd;
 use coordination::fleet::RequestFingerprint;
 use http::Request;
@@ -95,6 +96,7 @@
 pub struct AttemptRunner {
     pool: TargetPool,
     dialect: Arc<dyn CallerDialect>,
+    budget: Arc<AdmissionBudget>,
 }
 
 enum SendResult {
@@ -107,9 +109,14 @@
 }
 
 impl AttemptRunner {
-    /// Creates a runner that takes connections from `pool` and writes and reads headers by `dialect`.
-    pub fn new(pool: TargetPool, dialect: Arc<dyn CallerDialect>) -> Self {
-        Self { pool, dialect }
+    /// Creates a runner that takes connections from `pool` and writes and reads headers by `dialect`. Answers that
+    /// it holds draw on `budget`.
+    pub fn new(
+        pool: TargetPool,
+        dialect: Arc<dyn CallerDialect>,
+        budget: Arc<AdmissionBudget>,
+    ) -> Self {
+        Self { pool, dialect, budget }
     }
 
     /// Sends a request to the target of `guard` and reports the end of the attempt. Idle connections are reused
@@ -281,7 +288,8 @@
         guard.finish(end, facts.load);
         // A connection that still sends the request is closed at once, so that it takes no more of the body.
         if connection.has_sent_request() {
-            let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
+            let body =
+                tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body, &self.budget)).await;
             if let Ok(Ok(BufferedBody::Complete(_))) = body {
                 self.return_connection(key, connection, facts);
             }
@@ -301,7 +309,7 @@
         remove_hop_by_hop(&mut parts.headers);
         let leaving = (request.is_forwarded && facts.is_leaving).then(|| guard.choice());
         set_peer_marks(&mut parts.headers, leaving);
-        match buffer_body(body).await {
+        match buffer_body(body, &self.budget).await {
             Ok(BufferedBody::Complete(bytes)) => {
                 guard.finish_answered(parts.status, facts.load);
                 self.return_connection(key, connection, facts);
@@ -377,6 +385,7 @@
     match upload.fault()? {
         BodyFault::TooLarge => Some("body-too-large"),
         BodyFault::Stalled => Some("body-stalled"),
+        BodyFault::NoMemory => Some("body-not-buffered"),
         _ => Some("body-cut"),
     }
 }
--- a/crates/buckthornturn/src/entry/buffered_body.rs
+++ b/crates/buckthornturn/src/entry/buffered_body.rs
@@ -1,12 +1,15 @@
 //! Buffers the bodies of targets' answers until they are complete, so that a truncated answer can still be retried.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use coordination::admission_bounds::ByteUse;
+use coordination::admission_budget::AdmissionBudget;
 use coordination::fleet::AttemptEnd;
 use coordination::fleet::TargetLoad;
 use http::StatusCode;
@@ -22,6 +25,7 @@
 use crate::callers::SendingLease;
 use crate::callers::TargetConnection;
 use crate::entry::AttemptGuard;
+use crate::resources::reserve_bytes;
 
 /// Largest answer that is buffered, in bytes; a longer one is streamed to the caller.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -54,26 +58,33 @@
     pub load: Option<TargetLoad>,
 }
 
-/// Reads a body until it ends or exceeds the buffer limit.
+/// Reads a body until it ends or exceeds the buffer limit, or the budget of the process has no room. What is read draws on the
+/// budget until it is passed on.
 ///
 /// # Errors
 ///
 /// Fails if the connection ends before the body is complete.
-pub async fn buffer_body(mut body: Incoming) -> Result<BufferedBody, hyper::Error> {
+pub async fn buffer_body(
+    mut body: Incoming,
+    budget: &Arc<AdmissionBudget>,
+) -> Result<BufferedBody, hyper::Error> {
     let size = body.size_hint();
     let mut buffered = BytesMut::new();
+    let mut reservation = budget.reserve();
+    let mut has_room = true;
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
+            has_room = reservation.grow(data.len(), ByteUse::Optional);
             buffered.extend_from_slice(&data);
         }
-        if buffered.len() > MAX_BUFFERED_BYTES {
-            let start = Some(buffered.freeze());
+        if buffered.len() > MAX_BUFFERED_BYTES || !has_room {
+            let start = Some(reserve_bytes(buffered.freeze(), reservation));
             let (sending, attempt, timer) = (None, None, None);
             let body = StreamedBody { start, rest: body, size, sending, attempt, timer };
             return Ok(BufferedBody::Streamed(Box::new(body)));
         }
     }
-    Ok(BufferedBody::Complete(buffered.freeze()))
+    Ok(BufferedBody::Complete(reserve_bytes(buffered.freeze(), reservation)))
 }
 
 impl StreamedBody {
--- a/crates/buckthornturn/src/entry/entry_metrics.rs
+++ b/crates/buckthornturn/src/entry/entry_metrics.rs
@@ -4,9 +4,12 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::admission_bounds::ConnectionRole;
+use coordination::admission_budget::AdmissionBudget;
 use indexmap::IndexSet;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -40,6 +43,16 @@
     source: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RoleLabels {
+    role: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct PartLabels {
     part: &'static str,
@@ -65,6 +78,9 @@
     crashing_requests: Gauge<u64, AtomicU64>,
     reaches_targets: Gauge<u64, AtomicU64>,
     buffered_upload_bytes: Gauge<u64, AtomicU64>,
+    over_budget: Family<ReasonLabels, Counter>,
+    connections: Family<RoleLabels, Gauge<u64, AtomicU64>>,
+    budget_bytes: Gauge<u64, AtomicU64>,
     ready: Gauge<u64, AtomicU64>,
     label_values: Mutex<IndexSet<Box<str>>>,
 }
@@ -106,6 +122,9 @@
             crashing_requests: Gauge::default(),
             reaches_targets: Gauge::default(),
             buffered_upload_bytes: Gauge::default(),
+            over_budget: Family::default(),
+            connections: Family::default(),
+            budget_bytes: Gauge::default(),
             ready: Gauge::default(),
             label_values: Mutex::default(),
         };
@@ -153,6 +172,7 @@
         self.hosts.set(hosts);
         self.targets.set(targets);
         self.buffered_upload_bytes.set(state.buffers().used_bytes() as u64);
+        self.set_budget_metrics(state.gate().budget());
         let core = state.lock();
         self.limited_targets.set(core.board.limited_targets() as u64);
         self.paused_targets.set(core.board.paused_targets(Instant::now()) as u64);
@@ -165,6 +185,26 @@
         Ok(text)
     }
 
+    fn set_budget_metrics(&self, budget: &AdmissionBudget) {
+        let counts = budget.counts();
+        let reasons = [
+            ("evicted-for-connections", counts.evicted_for_connections),
+            ("evicted-for-bytes", counts.evicted_for_bytes),
+            ("refused-all-busy", counts.refused_all_busy),
+            ("refused-still-closing", counts.refused_still_closing),
+            ("refused-bytes", counts.refused_bytes),
+        ];
+        for (reason, count) in reasons {
+            let counter = self.over_budget.get_or_create(&ReasonLabels { reason });
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+        for role in ConnectionRole::ALL {
+            let gauge = self.connections.get_or_create(&RoleLabels { role: role.name() });
+            gauge.set(budget.open_connections(role) as u64);
+        }
+        self.budget_bytes.set(budget.used_bytes() as u64);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests by route and outcome", self.requests.clone());
@@ -194,6 +234,12 @@
         registry.register("reaches_targets", reaches, self.reaches_targets.clone());
         let buffered = "Bytes of large request bodies that are kept for a retry";
         registry.register("buffered_upload_bytes", buffered, self.buffered_upload_bytes.clone());
+        let over = "Connections and buffers over the budget of the process, by reason";
+        registry.register("over_budget", over, self.over_budget.clone());
+        let open = "Open connections by role";
+        registry.register("connections", open, self.connections.clone());
+        let bytes = "Bytes of all buffers that draw on the budget of the process";
+        registry.register("budget_bytes", bytes, self.budget_bytes.clone());
         registry.register("ready", "Whether new callers are taken", self.ready.clone());
     }
 
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::admission_bounds::ConnectionRole;
 use coordination::fleet::RequestFingerprint;
 use http::HeaderValue;
 use http::Request;
@@ -50,6 +51,7 @@
 use crate::interface::StatePart;
 use crate::interface::StateSource;
 use crate::interface::StreamDialer;
+use crate::listener::ListenerGate;
 use crate::listener::serve;
 use crate::membership::HostIdentity;
 use crate::settings::CallerBounds;
@@ -62,8 +64,7 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Idle timeout of callers' connections, longer than the one that any configuration sets.
 const CALLER_IDLE_MS: u64 = 60_000;
-/// Largest number of concurrent caller connections. Together with the connections to targets it fits in the file descriptor
-/// limit of the smallest host.
+/// Largest number of concurrent caller connections where the settings state no descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 3_000;
 
 const METRICS_PATH: &str = "/metrics";
@@ -128,10 +129,10 @@
             tasks.spawn(serve_metrics(metrics, Arc::clone(&state)));
         }
         let phase = watch::Sender::new(ServerPhase::Serving);
-        let pool = TargetPool::new(dialer);
+        let pool = TargetPool::new(dialer).with_gate(Arc::clone(state.gate()));
         tasks.spawn(try_lost_targets(Arc::clone(&state), pool.clone()));
         let proxy = ProxyService::new(Arc::clone(&state), platform.dialect, pool, client, reporter);
-        let callers = serve_callers(callers_listener, proxy, phase.subscribe());
+        let callers = serve_callers(callers_listener, &state, proxy, phase.subscribe());
         info!("host started", kv: {
             host: = state.identity().host,
             incarnation = state.identity().incarnation,
@@ -203,16 +204,23 @@
 
 fn serve_callers(
     listener: TcpListener,
+    state: &EntryState,
     proxy: ProxyService,
     phase: watch::Receiver<ServerPhase>,
 ) -> JoinHandle<()> {
+    let admission = state.gate().budget().bounds();
+    let max_connections = match state.settings().max_descriptors {
+        Some(_) => admission.connections + admission.closing,
+        None => MAX_CALLER_CONNECTIONS,
+    };
     let bounds = CallerBounds {
         head_timeout_ms: CALLER_IDLE_MS,
-        max_connections: MAX_CALLER_CONNECTIONS,
+        max_connections,
         ..CallerBounds::default()
     };
     let proxy = Arc::new(proxy);
-    let server = ConnectionServer::new(listener, bounds, phase);
+    let server =
+        ConnectionServer::new(listener, bounds, phase).with_gate(Some(Arc::clone(state.gate())));
     tokio::spawn(server.run(move |request, peer| {
         let proxy = Arc::clone(&proxy);
         async move { proxy.serve(request, peer).await }
@@ -220,7 +228,8 @@
 }
 
 fn serve_mesh(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Mesh);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer| {
         let state = Arc::clone(&state);
         async move { answer_peer(&state, request.uri().path(), request.uri().query()).await }
     })
@@ -231,7 +240,8 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
 ) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Readiness);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let status = match dialect.is_readiness_path(request.uri().path()) {
             true if state.is_ready() => StatusCode::OK,
             true => StatusCode::SERVICE_UNAVAILABLE,
@@ -242,7 +252,8 @@
 }
 
 fn serve_metrics(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Metrics);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let answer = match (request.uri().path(), state.metrics().encode_text(&state)) {
             (METRICS_PATH, Ok(text)) => status_response(StatusCode::OK, text.into()),
             (METRICS_PATH, Err(error)) => {
@@ -259,7 +270,8 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
 ) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::LookUp);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let answer = look_up(&state, &*dialect, &request);
         async move { answer }
     })
--- a/crates/buckthornturn/src/entry/entry_state.rs
+++ b/crates/buckthornturn/src/entry/entry_state.rs
@@ -9,6 +9,8 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use coordination::admission_budget::AdmissionBudget;
+use coordination::buffer_budget::BufferBounds;
 use coordination::buffer_budget::BufferBudget;
 use coordination::fleet::ConfigurationPosition;
 use coordination::fleet::HostPhase;
@@ -27,12 +29,14 @@
 use crate::entry::EntryConfiguration;
 use crate::entry::EntryCore;
 use crate::entry::EntryMetrics;
+use crate::entry::snapshot_cache::SnapshotCache;
 use crate::interface::SourceError;
 use crate::interface::StateBatch;
 use crate::interface::StateChange;
 use crate::interface::StatePart;
 use crate::interface::UnavailableSnafu;
 use crate::membership::HostIdentity;
+use crate::resources::ConnectionGate;
 use crate::settings::EntryBounds;
 use crate::settings::EntrySettings;
 
@@ -42,6 +46,8 @@
     pub(super) settings: EntrySettings,
     metrics: EntryMetrics,
     buffers: Arc<BufferBudget>,
+    gate: Arc<ConnectionGate>,
+    pub(super) snapshots: SnapshotCache,
     bounds: ArcSwap<EntryBounds>,
     configuration: ArcSwapOption<EntryConfiguration>,
     change_count: watch::Sender<u64>,
@@ -55,10 +61,14 @@
     /// Creates the state of a host that has read nothing yet.
     pub fn new(identity: HostIdentity, settings: EntrySettings) -> Arc<Self> {
         let core = Mutex::new(EntryCore::new(&identity, settings.expected_caller_share()));
+        let budget = Arc::new(AdmissionBudget::new(settings.admission_bounds()));
+        let buffers = BufferBudget::within(BufferBounds::default(), Arc::clone(&budget));
         Arc::new(Self {
             identity,
             metrics: EntryMetrics::default(),
-            buffers: Arc::default(),
+            buffers: Arc::new(buffers),
+            gate: ConnectionGate::new(budget),
+            snapshots: SnapshotCache::default(),
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
             configuration: ArcSwapOption::empty(),
@@ -80,6 +90,11 @@
         &self.buffers
     }
 
+    /// Gate through which all connections of the process pass.
+    pub fn gate(&self) -> &Arc<ConnectionGate> {
+        &self.gate
+    }
+
     /// Name, location and addresses of this host.
     pub fn identity(&self) -> &HostIdentity {
         &self.identity
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod request_record;
 mod run_outcome;
 mod settings_watch;
+mod snapshot_cache;
 mod state_follower;
 mod warning_throttle;
 
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -200,7 +200,7 @@
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         self.record_leaving(&mut parts.headers);
-        match buffer_body(body).await.ok()? {
+        match buffer_body(body, self.state.gate().budget()).await.ok()? {
             BufferedBody::Complete(bytes) => {
                 if let Some(connection) = connection.release() {
                     self.pool.return_connection(key, connection, None);
--- a/crates/buckthornturn/src/entry/peer_reader.rs
+++ b/crates/buckthornturn/src/entry/peer_reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coordination::admission_bounds::ByteUse;
 use coordination::fleet::StateVersion;
 use http::Response;
 use http::StatusCode;
@@ -18,6 +19,7 @@
 use crate::interface::StreamDialer;
 use crate::interface::UnavailableSnafu;
 use crate::interface::UnreadableSnafu;
+use crate::resources::reserve_bytes;
 use crate::store::HttpReader;
 
 const STATE_PATH: &str = "/state/";
@@ -112,7 +114,10 @@
     let part = part.and_then(|name| StatePart::ALL.into_iter().find(|part| part.name() == name));
     match (part, query_number(query, "after")) {
         (Some(part), None) => match state.wait_for_part(part, FIRST_READ_WAIT).await {
-            true => json_response(&state.snapshot(part)),
+            true => match state.snapshots.encode(state, part) {
+                Ok(body) => status_response(StatusCode::OK, body),
+                Err(error) => encoding_failure(&error),
+            },
             false => status_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         },
         (Some(part), Some(revision)) => {
@@ -121,26 +126,34 @@
             let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0))
                 .min(MAX_WATCH_WAIT);
             match state.wait_for_changes(part, after, wait).await {
-                Ok(batch) => json_response(&batch),
+                Ok(batch) => json_response(state, &batch),
                 Err(SourceError::HistoryGone) => status_response(StatusCode::GONE, Bytes::new()),
                 Err(_) => status_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
             }
         }
-        (None, _) if path == STATUS_PATH => json_response(&host_status(state)),
+        (None, _) if path == STATUS_PATH => json_response(state, &host_status(state)),
         (None, _) => status_response(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
-fn json_response(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
-    match serde_json::to_vec(value) {
-        Ok(body) => status_response(StatusCode::OK, body.into()),
-        Err(error) => status_response(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            error.to_string().into_bytes().into(),
-        ),
+/// Answer in JSON, which draws on the budget of the process until it is sent.
+fn json_response(state: &EntryState, value: &impl serde::Serialize) -> Response<Full<Bytes>> {
+    let body = match serde_json::to_vec(value) {
+        Ok(body) => Bytes::from(body),
+        Err(error) => return encoding_failure(&error),
+    };
+    let mut reservation = state.gate().budget().reserve();
+    match reservation.grow(body.len(), ByteUse::Needed) {
+        true => status_response(StatusCode::OK, reserve_bytes(body, reservation)),
+        false => status_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
     }
 }
 
+fn encoding_failure(error: &serde_json::Error) -> Response<Full<Bytes>> {
+    let reason = error.to_string().into_bytes();
+    status_response(StatusCode::INTERNAL_SERVER_ERROR, reason.into())
+}
+
 /// Builds a response with a status and a body, without headers.
 pub(crate) fn status_response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::admission_bounds::ByteUse;
+use coordination::admission_bounds::ConnectionRole;
+use coordination::byte_reservation::ByteReservation;
 use coordination::fleet::PlacementChoice;
 use coordination::fleet::PlacementRefusal;
 use coordination::fleet::PlacementRequest;
@@ -14,6 +17,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use spdlog::info;
 
@@ -45,11 +49,17 @@
 use crate::entry::run_outcome::SettledResult;
 use crate::entry::take_peer_position;
 use crate::interface::CallerDialect;
+use crate::resources::GatedConnection;
+use crate::resources::GuardedBody;
 
 /// Largest number of targets tried for one request, including those that no byte was sent to.
 const MAX_TARGETS_TRIED: usize = 4;
 /// Reason of refusals of requests whose body has lost its start.
 const LOST_BODY_REASON: &str = "body-not-buffered";
+/// Bytes that a request takes while it runs: the filled buffers of its caller's connection and of that to the target.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Reason of refusals while the process has no room for one more request.
+const FULL_REASON: &str = "connections-full";
 /// Pause in the `Retry-After` of a refusal while this host has no configuration or no target.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a caller may send nothing within a request body.
@@ -78,7 +88,11 @@
         client: Arc<MeshClient>,
         reporter: Arc<CrashReporter>,
     ) -> Self {
-        let runner = AttemptRunner::new(pool.clone(), Arc::clone(&dialect));
+        let runner = AttemptRunner::new(
+            pool.clone(),
+            Arc::clone(&dialect),
+            Arc::clone(state.gate().budget()),
+        );
         let forwarder = PeerForwarder::new(Arc::clone(&state), Arc::clone(&dialect), pool);
         Self { state, dialect, runner, forwarder, client, reporter }
     }
@@ -123,6 +137,10 @@
                 return self.refusal_response(&refusal);
             }
         };
+        let Some(place) = self.take_request_place() else {
+            upload.discard_rest(DRAIN_TIMEOUT).await;
+            return self.refusal_response(&unavailable_refusal(FULL_REASON));
+        };
         let mut request = OutgoingRequest::new(facts, head, upload);
         request.is_forwarded = is_forwarded;
         let mut record = RequestRecord::new();
@@ -131,11 +149,20 @@
         log_body_fault(&request);
         request.upload.discard_rest(DRAIN_TIMEOUT).await;
         match result {
-            Ok(response) => response,
+            Ok(response) => response.map(|body| GuardedBody::new(body, place).boxed_unsync()),
             Err(refusal) => self.refusal_response(&refusal),
         }
     }
 
+    /// Takes the connection to a target, and the buffers of both connections, into the budget of the process.
+    fn take_request_place(&self) -> Option<(GatedConnection, ByteReservation)> {
+        let gate = self.state.gate();
+        let mut buffers = gate.budget().reserve();
+        let has_room = buffers.grow(REQUEST_BYTES, ByteUse::Needed);
+        let connection = if has_room { gate.admit(ConnectionRole::Outgoing) } else { None };
+        connection.map(|connection| (connection, buffers))
+    }
+
     async fn admit_and_forward(
         &self,
         request: &OutgoingRequest,
--- a/crates/buckthornturn/src/host_process.rs
+++ b/crates/buckthornturn/src/host_process.rs
@@ -206,5 +206,5 @@
         let service = Arc::clone(&service);
         async move { service.serve(request).await }
     };
-    serve(listener, tls, handler).await;
+    serve(listener, tls, None, handler).await;
 }
--- a/crates/buckthornturn/src/lib.rs
+++ b/crates/buckthornturn/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mesh;
 pub mod operators;
 pub mod platform;
+pub mod resources;
 mod run;
 pub mod settings;
 pub mod shared_state;
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coordination::admission_bounds::AdmissionBounds;
 use coordination::fleet::FleetBudget;
 use coordination::ids::DomainId;
 use coordination::ids::HostId;
@@ -33,6 +34,13 @@
     /// Processor time that this host may use, in cores. Callers are distributed over hosts in proportion to it.
     #[serde(default = "default_capacity_cores")]
     pub capacity_cores: f64,
+    /// Memory that the process may take, in MB; without it the defaults of buffers apply.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may have, with those that the platform reserves; without it the default number of
+    /// connections applies.
+    #[serde(default)]
+    pub max_descriptors: Option<f64>,
     /// Limits of the platform that apply to all hosts together.
     pub bounds: EntryBounds,
     /// Level and format of the log.
@@ -41,6 +49,12 @@
 }
 
 impl EntrySettings {
+    /// Bounds of the connections and buffers of the process.
+    pub fn admission_bounds(&self) -> AdmissionBounds {
+        let whole = |limit: Option<f64>| limit.map(|limit| limit as u64);
+        AdmissionBounds::from_limits(whole(self.memory_mb), whole(self.max_descriptors))
+    }
+
     /// Returns the share of all callers that is expected in this host's region, from 0 to 1. It is estimated as the
     /// share of failure domains that lie in the region.
     pub fn expected_caller_share(&self) -> f64 {
--- a/crates/coordination/src/buffer_budget.rs
+++ b/crates/coordination/src/buffer_budget.rs
@@ -4,6 +4,10 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use crate::admission_bounds::ByteUse;
+use crate::admission_budget::AdmissionBudget;
+use crate::byte_reservation::ByteReservation;
+
 /// Bounds of the buffers of one host, in bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BufferBounds {
@@ -27,6 +31,7 @@
 pub struct BufferBudget {
     bounds: BufferBounds,
     used_bytes: AtomicUsize,
+    process: Arc<AdmissionBudget>,
 }
 
 /// Part of the budget that the start of one body takes, until it is dropped.
@@ -34,12 +39,18 @@
 pub struct BufferShare {
     budget: Arc<BufferBudget>,
     body_bytes: usize,
+    reservation: ByteReservation,
 }
 
 impl BufferBudget {
     /// Creates a budget of which nothing is used.
     pub fn new(bounds: BufferBounds) -> Self {
-        Self { bounds, used_bytes: AtomicUsize::new(0) }
+        Self::within(bounds, Arc::default())
+    }
+
+    /// Creates a budget whose buffers also draw on that of the process.
+    pub fn within(bounds: BufferBounds, process: Arc<AdmissionBudget>) -> Self {
+        Self { bounds, used_bytes: AtomicUsize::new(0), process }
     }
 
     /// Number of bytes that bodies take beyond their assured starts.
@@ -49,7 +60,8 @@
 
     /// Share of a body of which nothing is buffered yet.
     pub fn share(self: &Arc<Self>) -> BufferShare {
-        BufferShare { budget: Arc::clone(self), body_bytes: 0 }
+        let reservation = self.process.reserve();
+        BufferShare { budget: Arc::clone(self), body_bytes: 0, reservation }
     }
 
     fn beyond_assured(&self, body_bytes: usize) -> usize {
@@ -73,18 +85,27 @@
                 .used_bytes
                 .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
                 .is_ok();
+        if is_taken && !self.reservation.grow(bytes, ByteUse::Optional) {
+            self.budget.used_bytes.fetch_sub(added, Ordering::Relaxed);
+            return false;
+        }
         if is_taken {
             self.body_bytes = grown;
         }
         is_taken
     }
 
-    /// Takes room for `bytes` more of the body, also beyond the bounds.
-    pub fn grow_unbounded(&mut self, bytes: usize) {
+    /// Takes room for `bytes` more of the body, also beyond the bounds of bodies. Returns `false`, and takes none, if the
+    /// process has no room.
+    pub fn grow_needed(&mut self, bytes: usize) -> bool {
+        if !self.reservation.grow(bytes, ByteUse::Needed) {
+            return false;
+        }
         let grown = self.body_bytes.saturating_add(bytes);
         let added = self.budget.beyond_assured(grown) - self.budget.beyond_assured(self.body_bytes);
         self.budget.used_bytes.fetch_add(added, Ordering::Relaxed);
         self.body_bytes = grown;
+        true
     }
 }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,11 +1,15 @@
 //! Coordination logic of buckthornturn. The crate does no I/O; time and randomness are passed in as arguments.
 
+pub mod admission_bounds;
+pub mod admission_budget;
 pub mod append_attempt;
 pub mod blocks;
 pub mod borrow_plan;
 pub mod buffer_budget;
+pub mod byte_reservation;
 pub mod call_budget;
 pub mod circuit_breaker;
+pub mod connection_reservation;
 pub mod customer_budget;
 pub mod demand_meter;
 pub mod fair_queue;
@@ -23,6 +27,7 @@
 pub mod member_view;
 pub mod outcome_table;
 pub mod pause_check;
+pub mod peer_wait;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -114,6 +114,8 @@
             ("platform.address|json", quoted(&store)),
             ("seed_nodes|json", format!("[{}]", seeds.join(","))),
             ("limits.cpu_share|json", "0.2".into()),
+            ("limits.memory_mb|json", "112".into()),
+            ("limits.max_fds|json", "2870".into()),
             ("bounds.retry_budget_ratio|json", "0.2".into()),
             ("bounds.retry_budget_slack|json", "60".into()),
             ("bounds.ttl_max_s|json", "5".into()),
