--- a/crates/buckthornturn/src/callers/caller_body.rs
+++ b/crates/buckthornturn/src/callers/caller_body.rs
@@ -16,6 +16,7 @@
 
 use crate::callers::BodyFault;
 use crate::callers::RequestProgress;
+use crate::resources::BodyMeter;
 
 /// Body that ends without an error only if its sender has ended it.
 pub struct CallerBody {
@@ -23,6 +24,7 @@
     incoming: Option<Incoming>,
     is_http2: bool,
     progress: Option<Arc<RequestProgress>>,
+    meter: Option<BodyMeter>,
 }
 
 impl CallerBody {
@@ -32,14 +34,15 @@
     }
 
     /// Wraps the body of a request.
-    pub fn wrap_request(request: Request<Incoming>) -> Request<Self> {
+    pub fn wrap_request(mut request: Request<Incoming>) -> Request<Self> {
         let is_http2 = request.version() == Version::HTTP_2;
-        request.map(|incoming| Self { incoming: Some(incoming), is_http2, progress: None })
+        let meter = request.extensions_mut().remove();
+        request.map(|incoming| Self { incoming: Some(incoming), is_http2, progress: None, meter })
     }
 
     /// Body of a request without one.
     pub fn empty() -> Self {
-        Self { incoming: None, is_http2: false, progress: None }
+        Self { incoming: None, is_http2: false, progress: None, meter: None }
     }
 
     /// Sets where the end of the body is recorded.
@@ -81,6 +84,9 @@
         {
             progress.record_received();
         }
+        if self.is_end_stream() || !matches!(frame, Some(Ok(_))) {
+            self.meter.iter().for_each(BodyMeter::end);
+        }
         Poll::Ready(frame)
     }
 
--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use coordination::admission_bounds::ConnectionRole;
 use coordination::pipeline_window::PipelineBounds;
 use futures::FutureExt;
 use http::Request;
@@ -31,6 +32,10 @@
 use crate::callers::IndependenceCheck;
 use crate::callers::Pipelining;
 use crate::callers::StallGuard;
+use crate::resources::ConnectionGate;
+use crate::resources::ConnectionMeter;
+use crate::resources::GatedConnection;
+use crate::resources::MeteredStream;
 use crate::settings::CallerBounds;
 use crate::tls::accept_tls;
 
@@ -57,6 +62,7 @@
     tls: Option<TlsAcceptor>,
     pipelining: Option<PipeliningRule>,
     head_limits: Option<HeadLimitSource>,
+    gate: Option<Arc<ConnectionGate>>,
 }
 
 /// Limits on the heads of requests that may change while the server runs.
@@ -82,6 +88,7 @@
 struct ConnectionGuard {
     address: IpAddr,
     counts: ConnectionCounts,
+    place: Option<GatedConnection>,
 }
 
 impl ConnectionServer {
@@ -99,6 +106,7 @@
             tls: None,
             pipelining: None,
             head_limits: None,
+            gate: None,
         }
     }
 
@@ -107,6 +115,11 @@
         Self { tls, ..self }
     }
 
+    /// Lets connections draw on the budget of the process; with `None` only the bounds of callers apply.
+    pub fn with_gate(self, gate: Option<Arc<ConnectionGate>>) -> Self {
+        Self { gate, ..self }
+    }
+
     /// Sets which requests of an HTTP/1 connection run side by side; without it they run one after another.
     pub fn with_pipelining(self, bounds: PipelineBounds, check: IndependenceCheck) -> Self {
         Self { pipelining: Some(PipeliningRule { bounds, check }), ..self }
@@ -195,14 +208,19 @@
         let (bounds, phase) = (self.current_bounds(), self.phase.clone());
         let (builder, pipelining) = (server_builder(&bounds), self.pipelining(&bounds));
         connections.spawn(async move {
-            let _guard = guard;
+            let guard = guard;
             let stream = match accept_tls(tls.as_ref(), stream).await {
                 Ok(stream) => stream,
                 Err(error) => return debug!("handshake failed", kv: { peer:, reason: = error }),
             };
-            let stream = StallGuard::new(stream, answer_idle);
-            let task = ConnectionTask::new(stream, pipelining.as_ref(), handler, peer, phase);
-            task.run(&builder, bounds.head_timeout()).await;
+            let meter = guard.meter();
+            let stream = StallGuard::new(MeteredStream::new(stream, meter.clone()), answer_idle);
+            let task = ConnectionTask::new(stream, pipelining.as_ref(), handler, peer, phase)
+                .with_meter(meter);
+            tokio::select! {
+                () = task.run(&builder, bounds.head_timeout()) => {}
+                () = guard.wait_until_evicted() => {}
+            }
         });
     }
 
@@ -214,8 +232,26 @@
         if is_full {
             return None;
         }
+        let place = match &self.gate {
+            Some(gate) => Some(gate.admit(ConnectionRole::Caller)?),
+            None => None,
+        };
         counts.insert(address, count + 1);
-        Some(ConnectionGuard { address, counts: Arc::clone(&self.counts) })
+        Some(ConnectionGuard { address, counts: Arc::clone(&self.counts), place })
+    }
+}
+
+impl ConnectionGuard {
+    fn meter(&self) -> Option<ConnectionMeter> {
+        self.place.as_ref().map(GatedConnection::meter)
+    }
+
+    /// Waits until the connection is to be closed in favour of another one.
+    async fn wait_until_evicted(&self) {
+        match &self.place {
+            Some(place) => place.wait_until_evicted().await,
+            None => std::future::pending().await,
+        }
     }
 }
 
--- a/crates/buckthornturn/src/callers/connection_task.rs
+++ b/crates/buckthornturn/src/callers/connection_task.rs
@@ -44,6 +44,9 @@
 use crate::callers::SharedStream;
 use crate::callers::TakenRequest;
 use crate::callers::connection_server::wait_until_closing;
+use crate::resources::ConnectionMeter;
+use crate::resources::GuardedBody;
+use crate::resources::RequestGuard;
 
 /// Time to receive requests that are under way on the connections accepted last, before the connections are shut
 /// down.
@@ -52,7 +55,9 @@
 /// fit, and thousands of connections do on the smallest host.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
-type ServiceFuture<B> = BoxFuture<'static, Result<Response<B>, Infallible>>;
+/// Answer to one request; its body ends the request in the meter of its connection.
+type ServiceFuture<B> =
+    BoxFuture<'static, Result<Response<GuardedBody<B, Option<RequestGuard>>>, Infallible>>;
 
 /// Which requests of a connection run side by side.
 #[derive(Clone)]
@@ -68,6 +73,7 @@
 /// One connection and the state that its HTTP service shares with the task which polls it.
 pub struct ConnectionTask<S, B> {
     shared: Arc<ConnectionState<S, B>>,
+    meter: Option<ConnectionMeter>,
 }
 
 struct ConnectionState<S, B> {
@@ -112,14 +118,25 @@
         let stream = SharedStream::new(ReadAhead::new(stream, MAX_READ_AHEAD_BYTES, scanner));
         let requests = ConnectionRequests::default();
         let starter = starter(handler);
-        Self { shared: Arc::new(ConnectionState { stream, requests, early, starter, phase }) }
+        let shared = ConnectionState { stream, requests, early, starter, phase };
+        Self { shared: Arc::new(shared), meter: None }
+    }
+
+    /// Sets the meter in which requests of the connection are recorded.
+    pub fn with_meter(self, meter: Option<ConnectionMeter>) -> Self {
+        Self { meter, ..self }
     }
 
     /// Serves the connection until it ends or lacks its first request. Once the server closes, no further request is read.
     pub async fn run(self, builder: &Builder<TokioExecutor>, head_timeout: Duration) {
         let shared = &self.shared;
         let service = Arc::clone(shared);
-        let service = service_fn(move |request| Arc::clone(&service).serve(request));
+        let meter = self.meter.clone();
+        let service = service_fn(move |mut request| -> ServiceFuture<B> {
+            let guard = meter.as_ref().map(|meter| meter.start_request(&mut request));
+            let answer = Arc::clone(&service).serve(request);
+            answer.map(|result| result.map(|response| guard_answer(response, guard))).boxed()
+        });
         let io = TokioIo::new(shared.stream.clone());
         {
             let mut connection = pin!(builder.serve_connection(io, service));
@@ -172,10 +189,14 @@
         .await;
     }
 
-    fn serve(self: Arc<Self>, request: Request<Incoming>) -> ServiceFuture<B> {
+    fn serve(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<B>, Infallible>> {
         self.requests.record_begin();
         let request = CallerBody::wrap_request(request);
         if request.version() > Version::HTTP_11 {
+            self.stream.lock().scanner().end();
             return (self.starter)(request).map(Ok).boxed();
         }
         let open = self.requests.open_request();
@@ -254,6 +275,13 @@
     }
 }
 
+fn guard_answer<B>(
+    response: Response<B>,
+    guard: Option<RequestGuard>,
+) -> Response<GuardedBody<B, Option<RequestGuard>>> {
+    response.map(|body| GuardedBody::new(body, guard))
+}
+
 /// Returns after `head_timeout` if no request has arrived on the connection by then; otherwise it never returns.
 async fn wait_for_missing_request(requests: &ConnectionRequests, head_timeout: Duration) {
     tokio::time::sleep(head_timeout).await;
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coordination::admission_budget::AdmissionBudget;
 use coordination::answer_budget::AnswerBudget;
 use coordination::fleet::AttemptEnd;
 use coordination::fleet::RequestFingerprint;
@@ -96,6 +97,7 @@
     pool: TargetPool,
     dialect: Arc<dyn CallerDialect>,
     answers: Arc<AnswerBudget>,
+    budget: Arc<AdmissionBudget>,
 }
 
 enum SendResult {
@@ -108,13 +110,15 @@
 }
 
 impl AttemptRunner {
-    /// Creates a runner that takes connections from `pool`, writes and reads headers by `dialect`, and holds answers within `answers`.
+    /// Creates a runner that takes connections from `pool` and writes and reads headers by `dialect`. Answers that it holds draw
+    /// on `answers` and on `budget`, that of the process.
     pub fn new(
         pool: TargetPool,
         dialect: Arc<dyn CallerDialect>,
         answers: Arc<AnswerBudget>,
+        budget: Arc<AdmissionBudget>,
     ) -> Self {
-        Self { pool, dialect, answers }
+        Self { pool, dialect, answers, budget }
     }
 
     /// Sends a request to the target of `guard` and reports the end of the attempt. Idle connections are reused
@@ -286,7 +290,7 @@
         guard.finish(end, facts.load);
         // A connection that still sends the request is closed at once, so that it takes no more of the body.
         if connection.has_sent_request() {
-            let body = buffer_body(body, &self.answers);
+            let body = buffer_body(body, &self.answers, &self.budget);
             let body = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await;
             if let Ok(Ok(BufferedBody::Complete(_))) = body {
                 self.return_connection(key, connection, facts);
@@ -307,7 +311,7 @@
         remove_hop_by_hop(&mut parts.headers);
         let leaving = (request.is_forwarded && facts.is_leaving).then(|| guard.choice());
         set_peer_marks(&mut parts.headers, leaving);
-        match buffer_body(body, &self.answers).await {
+        match buffer_body(body, &self.answers, &self.budget).await {
             Ok(BufferedBody::Complete(held)) => {
                 guard.finish_answered(parts.status, facts.load);
                 self.return_connection(key, connection, facts);
@@ -382,6 +386,7 @@
     match upload.fault()? {
         BodyFault::TooLarge => Some("body-too-large"),
         BodyFault::Stalled => Some("body-stalled"),
+        BodyFault::NoMemory => Some("body-not-buffered"),
         _ => Some("body-cut"),
     }
 }
--- a/crates/buckthornturn/src/entry/buffered_body.rs
+++ b/crates/buckthornturn/src/entry/buffered_body.rs
@@ -8,6 +8,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use coordination::admission_bounds::ByteUse;
+use coordination::admission_budget::AdmissionBudget;
 use coordination::answer_budget::AnswerBudget;
 use coordination::answer_budget::AnswerShare;
 use http_body_util::BodyExt;
@@ -19,6 +21,7 @@
 use crate::callers::AnswerBody;
 use crate::entry::read_ahead::PART_BYTES;
 use crate::entry::streamed_body::StreamStart;
+use crate::resources::reserve_bytes;
 
 /// Largest answer that is buffered, in bytes; a longer one is streamed to the caller.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -37,27 +40,31 @@
     share: AnswerShare,
 }
 
-/// Reads a body until it ends, or exceeds the buffer limit or the budget.
+/// Reads a body until it ends, or exceeds the buffer limit, the budget of answers or the budget of the process. What is read draws
+/// on both until it is passed on.
 ///
 /// # Errors
 ///
 /// Fails if the connection ends before the body is complete.
 pub async fn buffer_body(
     mut body: Incoming,
-    budget: &Arc<AnswerBudget>,
+    answers: &Arc<AnswerBudget>,
+    process: &Arc<AdmissionBudget>,
 ) -> Result<BufferedBody, hyper::Error> {
     let size = body.size_hint();
     let mut buffered = BytesMut::new();
-    let mut share = budget.share();
+    let (mut share, mut reservation) = (answers.share(), process.reserve());
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         buffered.extend_from_slice(&data);
-        if !share.grow(data.len()) || buffered.len() > MAX_BUFFERED_BYTES {
-            let start = buffered.freeze();
+        let has_room = share.grow(data.len()) && reservation.grow(data.len(), ByteUse::Optional);
+        if !has_room || buffered.len() > MAX_BUFFERED_BYTES {
+            let start = reserve_bytes(buffered.freeze(), reservation);
             return Ok(BufferedBody::Streamed(StreamStart { start, rest: body, size, share }));
         }
     }
-    Ok(BufferedBody::Complete(HeldBody { bytes: buffered.freeze(), share }))
+    let bytes = reserve_bytes(buffered.freeze(), reservation);
+    Ok(BufferedBody::Complete(HeldBody { bytes, share }))
 }
 
 impl HeldBody {
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use coordination::admission_bounds::ConnectionRole;
 use coordination::fleet::RequestFingerprint;
 use coordination::pipeline_window::PipelineBounds;
 use http::HeaderValue;
@@ -53,6 +54,7 @@
 use crate::interface::StatePart;
 use crate::interface::StateSource;
 use crate::interface::StreamDialer;
+use crate::listener::ListenerGate;
 use crate::listener::serve;
 use crate::membership::HostIdentity;
 use crate::settings::CallerBounds;
@@ -65,8 +67,7 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Idle timeout of callers' connections, longer than the one that any configuration sets.
 const CALLER_IDLE_MS: u64 = 60_000;
-/// Largest number of concurrent caller connections. Together with the connections to targets it fits in the file descriptor
-/// limit of the smallest host.
+/// Largest number of concurrent caller connections where the settings state no descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 3_000;
 
 /// Size of finished answers that wait for earlier ones on their connection, from which on no further request of it starts early.
@@ -144,10 +145,10 @@
             tasks.spawn(serve_metrics(metrics, Arc::clone(&state)));
         }
         let phase = watch::Sender::new(ServerPhase::Serving);
-        let pool = TargetPool::new(dialer);
+        let pool = TargetPool::new(dialer).with_gate(Arc::clone(state.gate()));
         tasks.spawn(try_lost_targets(Arc::clone(&state), pool.clone()));
         let proxy = ProxyService::new(Arc::clone(&state), platform.dialect, pool, client, reporter);
-        let callers = serve_callers(callers_listener, proxy, phase.subscribe());
+        let callers = serve_callers(callers_listener, &state, proxy, phase.subscribe());
         info!("host started", kv: {
             host: = state.identity().host,
             incarnation = state.identity().incarnation,
@@ -219,12 +220,18 @@
 
 fn serve_callers(
     listener: TcpListener,
+    state: &EntryState,
     proxy: ProxyService,
     phase: watch::Receiver<ServerPhase>,
 ) -> JoinHandle<()> {
+    let admission = state.gate().budget().bounds();
+    let max_connections = match state.settings().max_descriptors {
+        Some(_) => admission.connections + admission.closing,
+        None => MAX_CALLER_CONNECTIONS,
+    };
     let bounds = CallerBounds {
         head_timeout_ms: CALLER_IDLE_MS,
-        max_connections: MAX_CALLER_CONNECTIONS,
+        max_connections,
         max_headers: MAX_HEADERS,
         ..CallerBounds::default()
     };
@@ -238,7 +245,8 @@
     let limits = Arc::clone(&proxy);
     let server = ConnectionServer::new(listener, bounds, phase)
         .with_pipelining(pipelining, check)
-        .with_head_limits(Arc::new(move || head_limits(&limits)));
+        .with_head_limits(Arc::new(move || head_limits(&limits)))
+        .with_gate(Some(Arc::clone(state.gate())));
     tokio::spawn(server.run(move |request, peer| {
         let proxy = Arc::clone(&proxy);
         async move { proxy.serve(request, peer).await }
@@ -260,7 +268,8 @@
 }
 
 fn serve_mesh(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Mesh);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer| {
         let state = Arc::clone(&state);
         async move { answer_peer(&state, request.uri().path(), request.uri().query()).await }
     })
@@ -271,7 +280,8 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
 ) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Readiness);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let status = match dialect.is_readiness_path(request.uri().path()) {
             true if state.is_ready() => StatusCode::OK,
             true => StatusCode::SERVICE_UNAVAILABLE,
@@ -282,7 +292,8 @@
 }
 
 fn serve_metrics(listener: TcpListener, state: Arc<EntryState>) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::Metrics);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let answer = match (request.uri().path(), state.metrics().encode_text(&state)) {
             (METRICS_PATH, Ok(text)) => status_response(StatusCode::OK, text.into()),
             (METRICS_PATH, Err(error)) => {
@@ -299,7 +310,8 @@
     state: Arc<EntryState>,
     dialect: Arc<dyn CallerDialect>,
 ) -> impl Future<Output = ()> {
-    serve(listener, None, move |request: Request<Incoming>, _peer: SocketAddr| {
+    let gate = ListenerGate::new(state.gate(), ConnectionRole::LookUp);
+    serve(listener, None, Some(gate), move |request: Request<Incoming>, _peer: SocketAddr| {
         let answer = look_up(&state, &*dialect, &request);
         async move { answer }
     })
--- a/crates/buckthornturn/src/entry/peer_forwarder.rs
+++ b/crates/buckthornturn/src/entry/peer_forwarder.rs
@@ -206,7 +206,8 @@
         let (mut parts, body) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         self.record_leaving(&mut parts.headers);
-        match buffer_body(body, &self.answers).await.ok()? {
+        let process = self.state.gate().budget();
+        match buffer_body(body, &self.answers, process).await.ok()? {
             BufferedBody::Complete(held) => {
                 if let Some(connection) = connection.release() {
                     self.pool.return_connection(key, connection, None);
