--- a/crates/buckthornturn/src/platform/store_answer.rs
+++ b/crates/buckthornturn/src/platform/store_answer.rs
@@ -156,7 +156,8 @@
 }
 
 fn decode_name(metadata: &RawMembers<'_>) -> Option<Box<str>> {
-    decode_member(metadata, "name").filter(|name: &Box<str>| name.len() <= MAX_NAME_BYTES)
+    let name: Box<str> = decode_member(metadata, "name")?;
+    (name.len() <= MAX_NAME_BYTES).then_some(name)
 }
 
 fn elements<'a>(members: &RawMembers<'a>, key: &str) -> Result<Vec<&'a [u8]>, Box<str>> {
--- a/crates/buckthornturn/src/platform/unreadable_entries.rs
+++ b/crates/buckthornturn/src/platform/unreadable_entries.rs
@@ -13,10 +13,15 @@
 /// Most entries that are remembered; the oldest is forgotten first, and is logged again when it is read again.
 const MAX_ENTRIES: usize = 1_024;
 
+/// Kind and name of an entry.
+type EntryKey = (&'static str, Box<str>);
+/// Revision of an entry with the era of the store, or the digest of one without a readable revision.
+type EntryVersion = (Era, u64);
+
 /// Versions of unreadable entries that were logged, by the kind and the name of the entry.
 #[derive(Debug, Default)]
 pub(super) struct UnreadableEntries {
-    logged: Mutex<IndexMap<(&'static str, Box<str>), (Era, u64)>>,
+    logged: Mutex<IndexMap<EntryKey, EntryVersion>>,
 }
 
 impl UnreadableEntries {
@@ -52,7 +57,7 @@
         is_new
     }
 
-    fn insert(&self, kind: &'static str, name: &str, version: (Era, u64)) -> bool {
+    fn insert(&self, kind: &'static str, name: &str, version: EntryVersion) -> bool {
         let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
         if logged.len() >= MAX_ENTRIES {
             logged.shift_remove_index(0);
