Pipelining draws on the budget of the process

Cause: merged with pipelining, the crowds that send requests ahead took 84 MB on a route and 68 MB without one, 64 MB allowed: input read ahead, the scanner's copy and requests that were started early were charged to nobody.

Change: a connection takes 128 KiB of optional bytes before it reads more than a first part ahead or starts a request early; without room its requests run one after another. The scanner keeps 8 KiB in place of 64.

--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -207,6 +207,7 @@
         let (tls, answer_idle) = (self.tls.clone(), self.bounds.answer_idle_timeout());
         let (bounds, phase) = (self.current_bounds(), self.phase.clone());
         let (builder, pipelining) = (server_builder(&bounds), self.pipelining(&bounds));
+        let budget = self.gate.as_ref().map(|gate| Arc::clone(gate.budget()));
         connections.spawn(async move {
             let guard = guard;
             let stream = match accept_tls(tls.as_ref(), stream).await {
@@ -216,7 +217,8 @@
             let meter = guard.meter();
             let stream = StallGuard::new(MeteredStream::new(stream, meter.clone()), answer_idle);
             let task = ConnectionTask::new(stream, pipelining.as_ref(), handler, peer, phase)
-                .with_meter(meter);
+                .with_meter(meter)
+                .with_budget(budget.as_ref());
             tokio::select! {
                 () = task.run(&builder, bounds.head_timeout()) => {}
                 () = guard.wait_until_evicted() => {}
--- a/crates/buckthornturn/src/callers/connection_task.rs
+++ b/crates/buckthornturn/src/callers/connection_task.rs
@@ -12,6 +12,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use coordination::admission_budget::AdmissionBudget;
 use coordination::pipeline_window::PipelineBounds;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -122,6 +123,14 @@
         Self { shared: Arc::new(shared), meter: None }
     }
 
+    /// Sets the budget that input read ahead draws on.
+    pub fn with_budget(self, budget: Option<&Arc<AdmissionBudget>>) -> Self {
+        if let Some(budget) = budget {
+            self.shared.stream.lock().set_budget(Arc::clone(budget));
+        }
+        self
+    }
+
     /// Sets the meter in which requests of the connection are recorded.
     pub fn with_meter(self, meter: Option<ConnectionMeter>) -> Self {
         Self { meter, ..self }
@@ -177,7 +186,8 @@
                 if stream.has_ended() {
                     return Poll::Ready(());
                 }
-                if let Some(mut early) = self.lock_early().filter(|_| !self.is_leaving()) {
+                let may_start = !self.is_leaving() && stream.may_start_requests();
+                if let Some(mut early) = self.lock_early().filter(|_| may_start) {
                     early.start_ready(stream.scanner());
                 }
                 // The HTTP server may have asked for these bytes, and is woken by the stream only.
@@ -217,7 +227,11 @@
     fn answer(&self, mut request: Request<CallerBody>) -> BoxFuture<'static, Response<B>> {
         let taken = self.lock_early().map(|mut early| {
             let mut stream = self.stream.lock();
-            early.take(&request, stream.scanner())
+            let taken = early.take(&request, stream.scanner());
+            if matches!(taken, TakenRequest::Fresh(_)) {
+                stream.return_reservation();
+            }
+            taken
         });
         match taken {
             Some(TakenRequest::Started(answer)) => async move {
--- a/crates/buckthornturn/src/callers/head_scanner.rs
+++ b/crates/buckthornturn/src/callers/head_scanner.rs
@@ -15,8 +15,9 @@
 use http::header;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Input that is kept while it waits to be scanned; more than the buffers of the stream and of the HTTP server hold.
-const MAX_PENDING_BYTES: usize = 64 << 10;
+/// Input that is kept while it waits to be scanned. Callers that send more ahead have their requests run one after another, so
+/// that thousands of connections fit on the smallest host.
+const MAX_PENDING_BYTES: usize = 8 << 10;
 /// Longest path that the HTTP server accepts.
 const MAX_URI_BYTES: usize = u16::MAX as usize - 1;
 
@@ -68,6 +69,11 @@
         self.has_ended
     }
 
+    /// Whether no input is kept.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Ends the scan.
     pub fn end(&mut self) {
         self.has_ended = true;
--- a/crates/buckthornturn/src/callers/read_ahead.rs
+++ b/crates/buckthornturn/src/callers/read_ahead.rs
@@ -3,11 +3,15 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Buf;
 use bytes::BytesMut;
+use coordination::admission_bounds::ByteUse;
+use coordination::admission_budget::AdmissionBudget;
+use coordination::byte_reservation::ByteReservation;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -17,6 +21,9 @@
 
 /// Room that is made in the buffer before each read.
 const READ_BYTES: usize = 4 << 10;
+/// What a connection takes of the budget of the process while it reads ahead: its input, the scanner's copy, and the state of the
+/// requests that are started early.
+const READ_AHEAD_CHARGE_BYTES: usize = 128 << 10;
 
 /// Stream with a bounded buffer of input that [`fill`](Self::fill) reads ahead.
 pub struct ReadAhead<S> {
@@ -26,12 +33,63 @@
     scanner: HeadScanner,
     has_ended: bool,
     fault: Option<io::Error>,
+    budget: Option<Arc<AdmissionBudget>>,
+    /// Taken while the connection reads ahead.
+    reservation: Option<ByteReservation>,
 }
 
 impl<S> ReadAhead<S> {
     /// Wraps a stream; up to `max_bytes` are read ahead. All input is also passed to the scanner, as it is read.
     pub fn new(stream: S, max_bytes: usize, scanner: HeadScanner) -> Self {
-        Self { stream, buffer: BytesMut::new(), max_bytes, scanner, has_ended: false, fault: None }
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            max_bytes,
+            scanner,
+            has_ended: false,
+            fault: None,
+            budget: None,
+            reservation: None,
+        }
+    }
+
+    /// Sets the budget that the buffers draw on. Without room in it the connection reads nothing ahead, and its requests run one
+    /// after another from then on.
+    pub fn set_budget(&mut self, budget: Arc<AdmissionBudget>) {
+        self.budget = Some(budget);
+    }
+
+    /// Whether requests found by the scanner may be started, for which the budget needs room.
+    pub fn may_start_requests(&mut self) -> bool {
+        match self.scanner.is_idle() {
+            true => self.budget.is_none() || self.reservation.is_some(),
+            false => self.has_room(),
+        }
+    }
+
+    /// Returns what was taken of the budget, if nothing is read ahead. To be called when no request was started early.
+    pub fn return_reservation(&mut self) {
+        if self.buffer.is_empty() && self.scanner.is_idle() {
+            self.reservation = None;
+        }
+    }
+
+    fn has_room(&mut self) -> bool {
+        let (Some(budget), None) = (&self.budget, &self.reservation) else { return true };
+        let mut reservation = budget.reserve();
+        let is_taken = reservation.grow(READ_AHEAD_CHARGE_BYTES, ByteUse::Optional);
+        match is_taken {
+            true => self.reservation = Some(reservation),
+            false => self.scanner.end(),
+        }
+        is_taken
+    }
+
+    /// Frees the buffer once the HTTP server has read it.
+    fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
     }
 
     /// Scanner of the input.
@@ -51,6 +109,10 @@
     pub fn fill(&mut self, context: &mut Context<'_>) -> bool {
         let mut has_read = false;
         while !self.has_ended && self.buffer.len() < self.max_bytes {
+            // The first part is covered by what each connection takes of the budget.
+            if !self.buffer.is_empty() && !self.has_room() {
+                break;
+            }
             self.buffer.reserve(READ_BYTES);
             match poll_read_buf(Pin::new(&mut self.stream), context, &mut self.buffer) {
                 Poll::Ready(Ok(0)) => self.has_ended = true,
@@ -62,9 +124,7 @@
                 Poll::Pending => break,
             }
         }
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
-        }
+        self.release_buffer();
         has_read
     }
 
@@ -95,9 +155,7 @@
             let bytes = self.buffer.len().min(buffer.remaining());
             buffer.put_slice(&self.buffer[..bytes]);
             self.buffer.advance(bytes);
-            if self.buffer.is_empty() {
-                self.buffer = BytesMut::new();
-            }
+            self.release_buffer();
             return Poll::Ready(Ok(()));
         }
         match self.fault.take() {
