--- a/crates/coordination/src/fleet/spill_controller.rs
+++ b/crates/coordination/src/fleet/spill_controller.rs
@@ -14,9 +14,6 @@
 /// Fastest change of the share per second. The platform allows 0.15 in two seconds (`max_region_shift`); the margin
 /// covers the scatter of windows with few requests.
 pub(super) const MAX_CHANGE_PER_SECOND: f64 = 0.04;
-/// Fastest growth of the share per second while other regions have free slots for callers whom the own one would refuse. It leaves
-/// less of a margin, as the windows of a busy region have many requests.
-const MAX_RELIEF_PER_SECOND: f64 = 0.05;
 /// Fastest decline of the share per second. Its requests are served where they are, so it leaves more margin.
 const MAX_DECLINE_PER_SECOND: f64 = 0.03;
 /// Fastest growth of the share per second after the region lost much of its room.
@@ -25,20 +22,10 @@
 const LOSS_RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Requests per slot of the region above which the share grows: nearly all slots are in use.
 const HIGH_PRESSURE: f64 = 0.85;
-/// Requests per slot offered in the region above which the share grows at that pace: more than it can run. Below, the waves of small
-/// fleets would move it.
-const RELIEF_PRESSURE: f64 = 1.15;
-/// Requests per slot offered outside, below which other regions count as having free slots.
-const FREE_OUTSIDE: f64 = 0.95;
-/// Without free slots outside, the share grows above this multiple of the requests per slot offered outside, and shrinks below
-/// the lower one. Requests of regions that are alike find more room in several regions than in one, and measurements
-/// scatter: with 1.6 and 1.3 regions at 1.5 of their slots still exchanged two fifths of their requests.
-const GROWTH_RATIO: f64 = 2.5;
-const RETURN_RATIO: f64 = 2.0;
 /// Requests per slot of the region below which the share shrinks: a third of the slots is free.
 const LOW_PRESSURE: f64 = 0.6;
 /// Part of the difference to the mean of the region's hosts by which the share moves in a second, and its fastest change
-/// for that reason. With `MAX_RELIEF_PER_SECOND` it stays within what the platform allows.
+/// for that reason. With `MAX_CHANGE_PER_SECOND` it stays within what the platform allows.
 const APPROACH_RATE: f64 = 0.5;
 const MAX_APPROACH_PER_SECOND: f64 = 0.02;
 /// Difference to `LOW_PRESSURE` from which the share shrinks at full speed. Near the bound it shrinks slowly, because each
@@ -83,13 +70,7 @@
 #[derive(Clone, Debug)]
 pub struct SpillController {
     share: f64,
-    /// Share at the start, by what the region's slots are short of its callers or by its neighbours. Overload everywhere doesn't
-    /// take the share below it.
-    initial_share: f64,
     pressure: f64,
-    /// The same as `pressure` for other regions.
-    outside_pressure: f64,
-    is_growing: bool,
     /// Shares of requests that would find room inside and outside the region.
     room: RegionRoom,
     /// Share of requests, 0 to 1, for which any target inside was open.
@@ -136,10 +117,7 @@
     pub fn new(share: f64, now: Instant) -> Self {
         Self {
             share,
-            initial_share: share,
             pressure: 0.0,
-            outside_pressure: 0.0,
-            is_growing: false,
             room: RegionRoom { inside: 1.0, outside: 1.0 },
             open_share: 1.0,
             returns: 1.0,
@@ -179,63 +157,35 @@
         self.updated_at = now;
         let weight = 1.0 - (-elapsed / PRESSURE_AVERAGE_TIME.as_secs_f64()).exp();
         self.pressure += weight * (offered - self.pressure);
-        let offered_outside = outside / outside_room.max(MIN_ROOM);
-        self.outside_pressure += weight * (offered_outside - self.outside_pressure);
         let elapsed = elapsed.min(1.0);
-        let growth = self.growth_per_second(now);
-        let is_urgent = self.is_closed() || self.has_recent_loss(now);
-        let may_grow = is_urgent || self.has_room_outside(GROWTH_RATIO);
+        let growth = match self.has_recent_loss(now) {
+            true => MAX_LOSS_GROWTH_PER_SECOND,
+            false => MAX_CHANGE_PER_SECOND,
+        };
         let step = match self.pressure {
             _ if self.is_closed() && self.due_outside > MAX_DUE => {
                 -MAX_DECLINE_PER_SECOND * elapsed
             }
-            _ if !is_urgent
-                && self.share > self.initial_share
-                && !self.has_room_outside(RETURN_RATIO) =>
-            {
-                -MAX_DECLINE_PER_SECOND * elapsed
-            }
-            _ if room + ROOM_DIFFERENCE < outside_room && may_grow => growth * elapsed,
+            _ if room + ROOM_DIFFERENCE < outside_room => growth * elapsed,
             _ if outside_room + ROOM_DIFFERENCE < room => -MAX_DECLINE_PER_SECOND * elapsed,
-            pressure if pressure > HIGH_PRESSURE && pressure > outside && may_grow => {
-                growth * elapsed
-            }
+            pressure if pressure > HIGH_PRESSURE && pressure > outside => growth * elapsed,
             pressure if pressure < LOW_PRESSURE => {
                 let part = ((LOW_PRESSURE - pressure) / RETURN_RANGE).min(1.0);
                 -MAX_DECLINE_PER_SECOND * elapsed * part
             }
             _ => 0.0,
         };
-        self.is_growing = step > 0.0;
         self.share = (self.share + step).clamp(0.0, 1.0);
     }
 
-    fn growth_per_second(&self, now: Instant) -> f64 {
-        let is_relieved = self.outside_pressure < FREE_OUTSIDE && self.pressure > RELIEF_PRESSURE;
-        match self.is_closed() {
-            _ if self.has_recent_loss(now) => MAX_LOSS_GROWTH_PER_SECOND,
-            false if is_relieved => MAX_RELIEF_PER_SECOND,
-            _ => MAX_CHANGE_PER_SECOND,
-        }
-    }
-
-    /// Whether other regions have free slots, or the requests per slot offered in this one are a multiple of those outside.
-    /// Regions that are overloaded alike would only exchange requests, which run cold and far away there.
-    fn has_room_outside(&self, ratio: f64) -> bool {
-        self.outside_pressure < FREE_OUTSIDE || self.pressure >= self.outside_pressure * ratio
-    }
-
     /// Moves the share towards the mean of the region's hosts. Hosts with different shares run the same objects inside and
-    /// outside, where one of the two copies is often cold. A growing share isn't moved back: the mean is some heartbeats old, and
-    /// hosts whose shares grow alike would hold each other back.
+    /// outside, where one of the two copies is often cold.
     pub fn approach_mean(&mut self, mean: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.approached_at).as_secs_f64().min(1.0);
         self.approached_at = now;
         let max_step = MAX_APPROACH_PER_SECOND * elapsed;
         let step = (mean - self.share) * APPROACH_RATE * elapsed;
-        let least_step =
-            if self.is_growing && self.pressure > RELIEF_PRESSURE { 0.0 } else { -max_step };
-        self.share = (self.share + step.clamp(least_step, max_step)).clamp(0.0, 1.0);
+        self.share = (self.share + step.clamp(-max_step, max_step)).clamp(0.0, 1.0);
     }
 
     /// Selects the side on which a request runs, of those that have room for it. `point` is a number from 0 to 1 that is
