Homes of cold targets by the size of the fleet; requests behind an ordinary one start early again

Change: the rule holds from 20 hosts on. Room is taken for requests ahead as well, and kept until none is.

--- a/crates/buckthornturn/src/callers/connection_task.rs
+++ b/crates/buckthornturn/src/callers/connection_task.rs
@@ -186,9 +186,11 @@
                 if stream.has_ended() {
                     return Poll::Ready(());
                 }
-                let may_start = !self.is_leaving() && stream.may_start_requests();
-                if let Some(mut early) = self.lock_early().filter(|_| may_start) {
-                    early.start_ready(stream.scanner());
+                if let Some(mut early) = self.lock_early().filter(|_| !self.is_leaving()) {
+                    let has_requests = !early.is_empty() || !stream.scanner().is_idle();
+                    if has_requests && stream.has_room() {
+                        early.start_ready(stream.scanner());
+                    }
                 }
                 // The HTTP server may have asked for these bytes, and is woken by the stream only.
                 if !has_read {
@@ -228,7 +230,7 @@
         let taken = self.lock_early().map(|mut early| {
             let mut stream = self.stream.lock();
             let taken = early.take(&request, stream.scanner());
-            if matches!(taken, TakenRequest::Fresh(_)) {
+            if early.is_empty() && matches!(taken, TakenRequest::Fresh(_)) {
                 stream.return_reservation();
             }
             taken
--- a/crates/buckthornturn/src/callers/early_requests.rs
+++ b/crates/buckthornturn/src/callers/early_requests.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Whether no request is known that the HTTP server has not reached.
+    pub fn is_empty(&self) -> bool {
+        self.ahead.is_empty()
+    }
+
     fn take_heads(&mut self, scanner: &mut HeadScanner) {
         while self.ahead.len() < MAX_HEADS_AHEAD {
             let Some(ScannedHead { request, body_bytes, arrived_at }) = scanner.take_head() else {
--- a/crates/buckthornturn/src/callers/read_ahead.rs
+++ b/crates/buckthornturn/src/callers/read_ahead.rs
@@ -59,22 +59,15 @@
         self.budget = Some(budget);
     }
 
-    /// Whether requests found by the scanner may be started, for which the budget needs room.
-    pub fn may_start_requests(&mut self) -> bool {
-        match self.scanner.is_idle() {
-            true => self.budget.is_none() || self.reservation.is_some(),
-            false => self.has_room(),
-        }
-    }
-
-    /// Returns what was taken of the budget, if nothing is read ahead. To be called when no request was started early.
+    /// Returns what was taken of the budget, if nothing is read ahead. To be called when no request is ahead.
     pub fn return_reservation(&mut self) {
         if self.buffer.is_empty() && self.scanner.is_idle() {
             self.reservation = None;
         }
     }
 
-    fn has_room(&mut self) -> bool {
+    /// Whether the budget has room for reading ahead and for requests that are started early, which is taken if it has.
+    pub fn has_room(&mut self) -> bool {
         let (Some(budget), None) = (&self.budget, &self.reservation) else { return true };
         let mut reservation = budget.reserve();
         let is_taken = reservation.grow(READ_AHEAD_CHARGE_BYTES, ByteUse::Optional);
--- a/crates/coordination/src/fleet/candidate_scoring.rs
+++ b/crates/coordination/src/fleet/candidate_scoring.rs
@@ -28,6 +28,9 @@
 const OTHER_REGION_COST_SECONDS: f64 = 0.070;
 /// Round trip to another region that counts towards the expected latency.
 const OTHER_REGION_TRIP_SECONDS: f64 = 0.035;
+/// Hosts of a fleet from which targets in their cold time are no homes: their two senders are a tenth of the hosts or fewer
+/// then. In a smaller fleet enough hosts send to them to keep objects warm there.
+const MIN_HOSTS_FOR_COLD_RULE: usize = 20;
 /// Probability of a failure from which a target is no object's home: two failures within a second or so.
 pub(super) const MAX_HOME_FAILURE: f64 = 0.5;
 /// Cost of a failure of probability 1, in latency objectives: the time lost and the repeated attempt.
@@ -151,8 +154,8 @@
 
     /// Ranks targets of the own region and of `far_region` for an object by rendezvous scores, which are the same on all hosts. Targets that fail and `excluded`
     /// ones, on which an earlier attempt failed, are left out: all hosts that know of the failure have the same next home.
-    /// So are targets in their cold time, which take requests of few hosts: the others would not know which target keeps
-    /// the object warm meanwhile.
+    /// So are targets of a large fleet in their cold time, which take requests of few hosts: the others would not know which
+    /// target keeps the object warm meanwhile.
     pub(super) fn rank_targets(
         &self,
         records: &[&TargetRecord],
@@ -162,9 +165,10 @@
         now: Instant,
     ) -> KeyRanks {
         let mut ranks = KeyRanks::default();
+        let skips_cold = self.hosts.len() >= MIN_HOSTS_FOR_COLD_RULE;
         let is_sound = |record: &TargetRecord| {
             record.tracker.failure_probability(now) < MAX_HOME_FAILURE
-                && !record.tracker.is_cold(now)
+                && !(skips_cold && record.tracker.is_cold(now))
                 && !excluded.contains(&record.entry.target)
         };
         let sound = records.iter().enumerate().filter(|(_, record)| is_sound(record));
