--- /dev/null
+++ b/review/rig-2/field_crowd.rs
@@ -0,0 +1,167 @@
+//! A crowd of clients sends requests ahead that are legal in size and made of very many short fields.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::Case;
+use crate::Outcome;
+use crate::parts::*;
+use crate::server::Server;
+
+/// Machine of the sheets: 260 MB, 4,100 descriptors.
+const MEMORY_MB: u64 = 260;
+const MAX_FDS: u64 = 4_100;
+/// Services and their servers, as `velorio-vivo` has them.
+const SERVICES: [&str; 3] = ["memoriales", "reservas", "grabaciones"];
+const SERVERS: usize = 12;
+const SLOTS: usize = 6;
+const QUEUE: usize = 18;
+/// Time that a server works on a request, and the clients' time budget (`archivo-familiar` of the grown sheet).
+const WORK: Duration = Duration::from_millis(3_760);
+const BUDGET_MS: u64 = 20_000;
+const CONNECTIONS: usize = 600;
+const REQUESTS_AHEAD: usize = 8;
+const FIELDS: usize = 500;
+/// Pause between the requests that a client sends ahead.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Fields of a request sent ahead: many short ones, or without the disruption a few of the same size together.
+fn fields(are_short: bool) -> String {
+    let short: String = (0..FIELDS)
+        .map(|field| {
+            let name = [b'a' + (field / 26) as u8, b'a' + (field % 26) as u8].map(char::from);
+            format!("{}{}:\r\n", name[0], name[1])
+        })
+        .collect();
+    match are_short {
+        true => short,
+        false => (0..5)
+            .map(|field| format!("f{field}: {}\r\n", "x".repeat(short.len() / 5 - 6)))
+            .collect(),
+    }
+}
+
+pub fn run(case: &Case) -> Outcome {
+    let record = &case.record;
+    let store = Store::start();
+    let names: Vec<(String, String)> =
+        SERVICES.iter().map(|name| (format!("r-{name}"), format!("/{name}/"))).collect();
+    let routes: Vec<Route<'_>> = names
+        .iter()
+        .zip(SERVICES)
+        .map(|((name, prefix), service)| Route {
+            name,
+            prefix,
+            kind: "idempotent",
+            service,
+            timeout_ms: BUDGET_MS,
+            max_attempts: 2,
+        })
+        .collect();
+    store.put("config", "main", &config_text("00000001", &routes, 16_384));
+    let begun = Arc::new(AtomicUsize::new(0));
+    for service in SERVICES {
+        for place in 0..SERVERS {
+            let (begun, server) = (Arc::clone(&begun), Arc::new(Server::new(SLOTS, QUEUE)));
+            let work = move |_: &Head| {
+                begun.fetch_add(1, Ordering::Relaxed);
+                WORK
+            };
+            let address = listen(move |stream| server.serve(stream, &work, true));
+            let entry = server_entry(address, service, "asan", SLOTS as u32);
+            store.put("servers", &format!("i-{service}-{place}"), &entry);
+        }
+    }
+    let ports = Ports::free();
+    let machine = Machine {
+        name: "edge-asan-0".to_owned(),
+        zone: "asan",
+        region: "bagmati",
+        ports,
+        store: store.address,
+        seeds: vec![ports.mesh],
+        memory_mb: MEMORY_MB,
+        max_fds: MAX_FDS,
+    };
+    let host = Host::start(&machine, &case.folder);
+    if !wait_until(Duration::from_secs(20), || host.is_ready()) {
+        record.line("the host is not ready");
+        return Outcome::NotRun;
+    }
+    record.line(format!("host ready, resident {} MB of {MEMORY_MB}", host.resident_bytes() >> 20));
+    let (largest, is_over, is_killed) =
+        (AtomicU64::new(0), AtomicBool::new(false), AtomicBool::new(false));
+    std::thread::scope(|scope| {
+        // The platform: a process that exceeds `memory_mb` is killed.
+        scope.spawn(|| {
+            while !is_over.load(Ordering::Relaxed) {
+                let bytes = host.resident_bytes();
+                largest.fetch_max(bytes, Ordering::Relaxed);
+                if bytes > MEMORY_MB << 20 && !is_killed.swap(true, Ordering::Relaxed) {
+                    record.line(format!(
+                        "resident {} MB, over the limit: the platform kills the host",
+                        bytes >> 20
+                    ));
+                    host.signal("KILL");
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        });
+        send_crowd(case, &host, ports, &begun);
+        record.line(format!("largest resident size {} MB", largest.load(Ordering::Relaxed) >> 20));
+        is_over.store(true, Ordering::Relaxed);
+    });
+    match (is_killed.load(Ordering::Relaxed), begun.load(Ordering::Relaxed) >= SERVERS * SLOTS) {
+        (true, _) => Outcome::Broken,
+        (false, true) => Outcome::Held,
+        (false, false) => Outcome::NotRun,
+    }
+}
+
+fn send_crowd(case: &Case, host: &Host, ports: Ports, begun: &AtomicUsize) {
+    let record = &case.record;
+    let mut streams = Vec::new();
+    for number in 0..CONNECTIONS {
+        let Ok(mut stream) = TcpStream::connect(ports.callers) else { continue };
+        let path = format!("/{}/{number}", SERVICES[number % SERVICES.len()]);
+        let text = request_text("GET", &path, &format!("c{number}"), BUDGET_MS) + "\r\n";
+        let _ = stream.set_nodelay(true);
+        if stream.write_all(text.as_bytes()).is_ok() {
+            streams.push(stream);
+        }
+    }
+    std::thread::sleep(PAUSE);
+    record.line(format!(
+        "sent {} ordinary requests, one a connection; servers have begun {}; resident {} MB",
+        streams.len(),
+        begun.load(Ordering::Relaxed),
+        host.resident_bytes() >> 20
+    ));
+    let fields = fields(case.has_trouble);
+    let mut size = 0;
+    for ahead in 0..REQUESTS_AHEAD {
+        let mut sent = 0;
+        for (number, stream) in streams.iter_mut().enumerate() {
+            let path = format!("/{}/{number}", SERVICES[number % SERVICES.len()]);
+            let head = request_text("GET", &path, &format!("c{number}-{ahead}"), BUDGET_MS);
+            let text = format!("{head}{fields}\r\n");
+            size = text.len();
+            let _ = stream.set_nonblocking(true);
+            sent += usize::from(stream.write_all(text.as_bytes()).is_ok());
+        }
+        std::thread::sleep(PAUSE);
+        record.line(format!(
+            "sent request {} ahead on {sent} connections, {size} bytes each; resident {} MB",
+            ahead + 1,
+            host.resident_bytes() >> 20
+        ));
+    }
+    drop(streams);
+    record.line("the crowd has left");
+}
