--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -7,6 +7,7 @@
 mod head_crowd;
 mod parts;
 mod pipelined_stop;
+mod quota_return;
 mod server;
 
 use std::path::PathBuf;
@@ -44,6 +45,7 @@
         "field-crowd" => field_crowd::run(&case),
         "batch-return" => batch_return::run(&case),
         "early-upload" => early_upload::run(&case),
+        "quota-return" => quota_return::run(&case),
         "head-crowd" => head_crowd::run(&case),
         _ => Outcome::NotRun,
     };
--- a/review/rig-2/parts.rs
+++ b/review/rig-2/parts.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -208,6 +209,8 @@
 /// Stand-in for the platform's metadata store (PROTOCOL.md).
 #[derive(Clone)]
 pub struct Store {
+    /// Whether the store takes calls and answers none.
+    pub is_silent: Arc<AtomicBool>,
     state: Arc<(Mutex<StoreState>, Condvar)>,
     pub address: SocketAddr,
 }
@@ -216,12 +219,20 @@
     pub fn start() -> Self {
         let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
         state.0.lock().unwrap().revision = 100;
+        let is_silent = Arc::<AtomicBool>::default();
+        let silence = Arc::clone(&is_silent);
         let served = Arc::clone(&state);
         let address = listen(move |stream| {
             let mut reader = Reader::new(stream);
             while let Ok(Some(head)) = reader.read_head() {
                 let Ok(body) = reader.read_body(&head) else { return };
                 let (status, text) = answer_store_call(&served, &head, &body);
+                if silence.load(Ordering::Relaxed) {
+                    while silence.load(Ordering::Relaxed) {
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                    return;
+                }
                 let answer = format!(
                     "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                     text.len()
@@ -231,7 +242,7 @@
                 }
             }
         });
-        Self { state, address }
+        Self { is_silent, state, address }
     }
 
     /// Writes an object as the operator or a server does.
