Callers: a planned stop answers the requests that run behind another one

Callers that send requests ahead on a connection got the first answer after SIGTERM with `Connection: close` and then the end of the connection.

Cause: `ConnectionState::finish` closed the connection with the first answer after the host began to leave and aborted what `EarlyRequests` had started. When the host closed, `graceful_shutdown` did the same, as the HTTP library then ends the connection with the answer in progress.

Change: the answer closes the connection only if no started request is behind it, and `graceful_shutdown` waits until the last started request is reached. Requests that were not started stay unread, as before: callers send them again.

The test requests_behind_an_answer_that_closes_the_connection_are_cancelled asked for the fault.

--- a/crates/buckthornturn/src/callers/connection_task.rs
+++ b/crates/buckthornturn/src/callers/connection_task.rs
@@ -155,7 +155,9 @@
                 () = wait_for_missing_request(&shared.requests, head_timeout) => false,
                 () = wait_until_settled(&mut phase) => true,
             };
-            if is_closing {
+            let is_open = is_closing
+                && shared.drive_until(connection.as_mut(), || !shared.has_started_ahead()).await;
+            if is_open {
                 connection.as_mut().graceful_shutdown();
                 shared.drive(connection).await;
             }
@@ -170,13 +172,26 @@
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     B: Body + Send + 'static,
 {
+    /// Polls the HTTP server until the connection ends, or its peer has left without the answer.
+    async fn drive<C: Future>(&self, connection: Pin<&mut C>) {
+        self.drive_until(connection, || false).await;
+    }
+
     /// Polls the HTTP server, and reads ahead while it waits for an answer, as it does not read itself while it holds a part of
-    /// a further request. Returns when the connection ends, or its peer has left without the answer.
-    async fn drive<C: Future>(&self, mut connection: Pin<&mut C>) {
+    /// a further request. Returns `false` when the connection has ended, or its peer has left without the answer, and `true`
+    /// once `is_done` while it is open.
+    async fn drive_until<C: Future>(
+        &self,
+        mut connection: Pin<&mut C>,
+        is_done: impl Fn() -> bool,
+    ) -> bool {
         std::future::poll_fn(|context| {
             loop {
                 if connection.as_mut().poll(context).is_ready() {
-                    return Poll::Ready(());
+                    return Poll::Ready(false);
+                }
+                if is_done() {
+                    return Poll::Ready(true);
                 }
                 if !self.requests.is_waiting() {
                     return Poll::Pending;
@@ -184,7 +199,7 @@
                 let mut stream = self.stream.lock();
                 let has_read = stream.fill(context);
                 if stream.has_ended() {
-                    return Poll::Ready(());
+                    return Poll::Ready(false);
                 }
                 if let Some(mut early) = self.lock_early().filter(|_| !self.is_leaving()) {
                     let has_requests = !early.is_empty() || !stream.scanner().is_idle();
@@ -198,7 +213,7 @@
                 }
             }
         })
-        .await;
+        .await
     }
 
     fn serve(
@@ -255,14 +270,15 @@
         }
     }
 
-    /// Waits for an answer. If it closes the connection, the requests behind it are cancelled.
+    /// Waits for an answer. Once the server leaves, the answer of the last request that was started closes the connection, so
+    /// that callers take those behind it as not read.
     async fn finish(
         self: Arc<Self>,
         answer: BoxFuture<'static, Response<B>>,
         open: OpenRequest,
     ) -> Result<Response<B>, Infallible> {
         let mut response = answer.await;
-        if self.is_leaving() {
+        if self.is_leaving() && !self.has_started_ahead() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
             self.close_early();
@@ -278,6 +294,10 @@
         *self.phase.borrow() >= ServerPhase::Leaving
     }
 
+    fn has_started_ahead(&self) -> bool {
+        self.lock_early().is_some_and(|early| early.has_started())
+    }
+
     fn lock_early(&self) -> Option<MutexGuard<'_, EarlyRequests<B>>> {
         let early = self.early.as_ref()?;
         Some(early.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/buckthornturn/src/callers/early_requests.rs
+++ b/crates/buckthornturn/src/callers/early_requests.rs
@@ -122,6 +122,11 @@
         self.ahead.is_empty()
     }
 
+    /// Whether a request runs, or has its answer, that the HTTP server has not reached.
+    pub fn has_started(&self) -> bool {
+        self.ahead.iter().any(|request| request.answer.is_some())
+    }
+
     fn take_heads(&mut self, scanner: &mut HeadScanner) {
         while self.ahead.len() < MAX_HEADS_AHEAD {
             let Some(ScannedHead { request, body_bytes, arrived_at }) = scanner.take_head() else {
--- a/crates/buckthornturn/tests/pipelined_requests.rs
+++ b/crates/buckthornturn/tests/pipelined_requests.rs
@@ -165,10 +165,17 @@
     )
 }
 
-/// Reads answers until the connection ends or `count` are whole; returns their bodies without padding.
-async fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<String> {
-    let (mut input, mut bodies) = (Vec::new(), Vec::new());
-    while bodies.len() < count {
+/// Answer without the padding of its body.
+#[derive(Debug, Eq, PartialEq)]
+struct ReadAnswer {
+    body: String,
+    closes: bool,
+}
+
+/// Reads answers until the connection ends or `count` are whole.
+async fn read_whole_answers(stream: &mut TcpStream, count: usize) -> Vec<ReadAnswer> {
+    let (mut input, mut answers) = (Vec::new(), Vec::new());
+    while answers.len() < count {
         let Some(end) = input.windows(4).position(|part| part == b"\r\n\r\n") else {
             match stream.read_buf(&mut input).await.unwrap() {
                 0 => break,
@@ -181,10 +188,18 @@
         while input.len() < whole {
             assert_ne!(stream.read_buf(&mut input).await.unwrap(), 0, "an answer is cut");
         }
-        bodies.push(String::from_utf8(input[end + 4..whole].to_vec()).unwrap().trim().to_owned());
+        let body = String::from_utf8(input[end + 4..whole].to_vec()).unwrap().trim().to_owned();
+        let closes = head.lines().any(|line| line == "connection: close");
+        answers.push(ReadAnswer { body, closes });
         input.drain(..whole);
     }
-    bodies
+    assert!(input.is_empty() || answers.len() == count, "an answer is cut");
+    answers
+}
+
+/// Reads answers until the connection ends or `count` are whole; returns their bodies without padding.
+async fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    read_whole_answers(stream, count).await.into_iter().map(|answer| answer.body).collect()
 }
 
 macro_rules! pipelining_cases {
@@ -236,17 +251,61 @@
     assert_eq!(read_answers(&mut stream, 3).await, ["/1", "/large/2", "/3"]);
 }
 
-/// Guards against requests behind the last answer that run on, and against one of them that gets another one's answer.
+/// Sends requests, moves the server to `last_phase` while they run, and checks that `answered` get their answers before the
+/// connection ends. No other may have begun.
+async fn check_planned_stop(requests: &[String], last_phase: ServerPhase, answered: &[&str]) {
+    let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
+    let address = start_server(&phase, &journal, true).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(requests.concat().as_bytes()).await.unwrap();
+    tokio::time::sleep(SEND_PAUSE).await;
+    phase.send_replace(last_phase);
+    let answers = read_whole_answers(&mut stream, requests.len() + 1).await;
+    let expected = answered.iter().enumerate().map(|(index, path)| ReadAnswer {
+        body: (*path).to_owned(),
+        closes: index + 1 == answered.len(),
+    });
+    assert_eq!(answers, expected.collect::<Vec<_>>());
+    assert_eq!(journal.begun(), answered);
+    let mut ended = answered.to_vec();
+    ended.sort_unstable();
+    assert_eq!(journal.ended(), ended);
+}
+
+macro_rules! planned_stop_cases {
+    ($($name:ident: $requests:expr, $last_phase:ident => $answered:expr;)*) => {
+        $(
+            /// Guards against a planned stop that cuts requests which run behind another one of their connection.
+            #[tokio::test]
+            async fn $name() {
+                check_planned_stop(&$requests, ServerPhase::$last_phase, &$answered).await;
+            }
+        )*
+    };
+}
+
+planned_stop_cases! {
+    requests_that_run_are_answered_before_a_leaving_server_closes: [get("/1", 300), get("/2", 900), get("/3", 20)], Leaving => ["/1", "/2", "/3"];
+    requests_that_run_are_answered_before_a_closing_server_ends: [get("/1", 500), get("/2", 900), get("/3", 20)], Closing => ["/1", "/2", "/3"];
+    the_latest_of_the_requests_that_run_may_be_the_slowest: [get("/1", 100), get("/2", 20), get("/3", 900)], Closing => ["/1", "/2", "/3"];
+    large_answers_of_a_server_that_stops_are_whole: [get("/1", 300), get("/large/2", 20), get("/3", 600)], Leaving => ["/1", "/large/2", "/3"];
+    requests_beyond_the_bound_are_not_begun_by_a_leaving_server: [get("/1", 300), get("/2", 20), get("/3", 20), get("/4", 20), get("/5", 20)], Leaving => ["/1", "/2", "/3", "/4"];
+    a_request_that_runs_alone_is_not_begun_by_a_leaving_server: [get("/1", 300), get("/2", 600), get("/once/3", 20), get("/4", 20)], Leaving => ["/1", "/2"];
+    a_request_behind_a_body_is_not_begun_by_a_leaving_server: [post("/1", 300), get("/2", 20)], Leaving => ["/1"];
+}
+
+/// Guards against requests that run on after their caller has left a server that stops.
 #[tokio::test]
-async fn requests_behind_an_answer_that_closes_the_connection_are_cancelled() {
+async fn requests_of_a_caller_that_leaves_a_leaving_server_are_cancelled() {
     let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
     let address = start_server(&phase, &journal, true).await;
     let mut stream = TcpStream::connect(address).await.unwrap();
-    let requests = get("/1", 300) + &get("/2", 3_000) + &get("/3", 3_000);
+    let requests = get("/1", 100) + &get("/2", 3_000) + &get("/3", 3_000);
     stream.write_all(requests.as_bytes()).await.unwrap();
     tokio::time::sleep(SEND_PAUSE).await;
     phase.send_replace(ServerPhase::Leaving);
-    assert_eq!(read_answers(&mut stream, 3).await, ["/1"]);
-    assert_eq!(journal.begun(), ["/1", "/2", "/3"]);
+    assert_eq!(read_answers(&mut stream, 1).await, ["/1"]);
+    drop(stream);
+    tokio::time::sleep(LEAVE_SLACK).await;
     assert_eq!(journal.ended(), ["/1", "/2", "/3"]);
 }
