Deploy: bounds that not every installation states come by the command line

Cause: added seven figures as placeholders of the template, so that whoever fills it in has to know all of them.

An empty value or `null` leaves the default in force; an unknown name or a value that is no number ends the start with place and reason. The line `bounds in force` lists all figures at each start and change, and those that nothing states. Figures of the command line hold until the next start; those of the file still change while the host runs.

--- a/crates/buckthornturn/src/document/mod.rs
+++ b/crates/buckthornturn/src/document/mod.rs
@@ -1,5 +1,6 @@
 //! Parsing of configuration and settings files in JSON with comments. Problems are reported with their positions.
 
+mod bound_override;
 mod config_document;
 mod document_checker;
 mod entry_document;
@@ -10,6 +11,7 @@
 mod settings_document;
 mod settings_rules;
 
+pub use bound_override::BoundOverride;
 pub use config_document::ConfigDocument;
 pub use config_document::ObjectRemoval;
 pub use entry_document::EntryDocument;
--- a/crates/buckthornturn/src/entry/mod.rs
+++ b/crates/buckthornturn/src/entry/mod.rs
@@ -81,4 +81,5 @@
 pub use reach_trial::try_lost_targets;
 pub use request_facts::RequestFacts;
 pub use settings_watch::SettingsWatch;
+pub use settings_watch::log_bounds;
 pub use state_follower::StateFollower;
--- a/crates/buckthornturn/src/entry/settings_watch.rs
+++ b/crates/buckthornturn/src/entry/settings_watch.rs
@@ -8,6 +8,7 @@
 use spdlog::warn;
 use tokio::signal::unix::Signal;
 
+use crate::document::BoundOverride;
 use crate::document::EntryDocument;
 use crate::entry::EntryState;
 use crate::logging::ProcessLog;
@@ -19,17 +20,28 @@
 /// Watches the settings file. Changes of bounds and log level apply at once, all others at the next start.
 pub struct SettingsWatch {
     path: PathBuf,
+    overrides: Box<[BoundOverride]>,
     state: Arc<EntryState>,
     applied: EntrySettings,
     last_text: Box<str>,
     dropped_lines: u64,
 }
 
+/// Logs the bounds in force, and the names of those that nothing states.
+pub fn log_bounds(state: &EntryState, defaults: &[Box<str>]) {
+    let values = state.bounds().values();
+    let values: Vec<String> =
+        values.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    info!("bounds in force", kv: {
+        bounds: = values.join(" "), defaults: = defaults.join(" ")
+    });
+}
+
 impl SettingsWatch {
-    /// Creates a watch of the file that the host was started with.
-    pub fn new(path: PathBuf, state: Arc<EntryState>) -> Self {
+    /// Creates a watch of the file that the host was started with. The `overrides` take the place of the file's bounds.
+    pub fn new(path: PathBuf, overrides: Box<[BoundOverride]>, state: Arc<EntryState>) -> Self {
         let applied = state.settings().clone();
-        Self { path, state, applied, last_text: "".into(), dropped_lines: 0 }
+        Self { path, overrides, state, applied, last_text: "".into(), dropped_lines: 0 }
     }
 
     /// Runs until the future is dropped. A hangup signal triggers an immediate reload.
@@ -58,7 +70,7 @@
         if text == self.last_text {
             return;
         }
-        match EntryDocument::parse(&text) {
+        match EntryDocument::parse_with(&text, &self.overrides) {
             Ok(settings) => self.apply(settings),
             Err(problems) => {
                 for problem in problems {
@@ -75,6 +87,7 @@
         }
         let rest = EntrySettings {
             bounds: self.applied.bounds.clone(),
+            default_bounds: self.applied.default_bounds.clone(),
             log: self.applied.log.clone(),
             ..settings.clone()
         };
@@ -84,6 +97,7 @@
             needs_restart = rest != self.applied
         });
         self.state.set_bounds(settings.bounds.clone());
+        log_bounds(&self.state, &settings.default_bounds);
         ProcessLog::set_level(settings.log.level);
         self.applied = settings;
     }
--- a/crates/buckthornturn/src/settings/entry_settings.rs
+++ b/crates/buckthornturn/src/settings/entry_settings.rs
@@ -13,6 +13,8 @@
 use coordination::ids::RegionId;
 use indexmap::IndexMap;
 use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
 
 use crate::settings::LogSettings;
 
@@ -46,6 +48,9 @@
     pub max_descriptors: Option<f64>,
     /// Limits of the platform that apply to all hosts together.
     pub bounds: EntryBounds,
+    /// Names of the bounds that were not stated, whose defaults are in force.
+    #[serde(skip)]
+    pub default_bounds: Box<[Box<str>]>,
     /// Level and format of the log.
     #[serde(default)]
     pub log: LogSettings,
@@ -96,7 +101,7 @@
 }
 
 /// Limits of the platform that apply to all hosts together.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EntryBounds {
     /// Retry budget: maximum number of retries as a fraction of requests.
     pub retry_ratio: f64,
@@ -172,6 +177,13 @@
 }
 
 impl EntryBounds {
+    /// All bounds by the names that they have in the settings file.
+    pub fn values(&self) -> IndexMap<Box<str>, Value> {
+        let fields = serde_json::to_value(self).ok();
+        let fields = fields.and_then(|value| value.as_object().cloned()).unwrap_or_default();
+        fields.into_iter().map(|(name, value)| (name.into(), value)).collect()
+    }
+
     /// Budget of retries that all hosts share.
     pub fn retry_budget(&self) -> FleetBudget {
         FleetBudget {
--- a/crates/buckthornturn/src/subcommand/command_help.rs
+++ b/crates/buckthornturn/src/subcommand/command_help.rs
@@ -5,7 +5,7 @@
 buckthornturn: global traffic steering for services with a planned shutdown
 
 Usage:
-  buckthornturn host --settings FILE
+  buckthornturn host --settings FILE [--bound NAME=VALUE]...
   buckthornturn check FILE
   buckthornturn apply FILE --host ADDR
   buckthornturn get [KIND [NAME]] --host ADDR
@@ -47,7 +47,9 @@
 Runs an entry host until SIGTERM or ctrl-c, then shuts it down gracefully.
 
 Usage:
-  buckthornturn host --settings FILE
+  buckthornturn host --settings FILE [--bound NAME=VALUE]...
+
+  --bound NAME=VALUE  takes the place of a field of `bounds` in the settings file; without VALUE the file or the default applies
 ";
 
 const CHECK: &str = "\
--- a/crates/buckthornturn/tests/contract/command_line.rs
+++ b/crates/buckthornturn/tests/contract/command_line.rs
@@ -54,6 +54,8 @@
     missing_host: ["status"] => 2, "--host";
     malformed_host: ["status", "--host", "nowhere"] => 2, "nowhere";
     missing_settings: ["host"] => 2, "--settings";
+    bound_without_name: ["host", "--settings", "x", "--bound", "=5"] => 2, "`=5` is not of the form NAME=VALUE";
+    bound_that_is_no_number: ["host", "--settings", "x", "--bound", "quota_slack=many"] => 2, "quota_slack: `many` is not a number";
     unreadable_file: ["check", "no-such-file.jsonc"] => 2, "cannot read no-such-file.jsonc";
     unknown_scope: ["drain", "cell", "a", "--host", "127.0.0.1:9"] => 2, "`cell` is not one of target, domain, region";
     malformed_time: ["drain", "domain", "a", "--by", "soon", "--host", "127.0.0.1:9"] => 2, "`soon` is neither a time";
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod crashes;
 mod cut_hosts;
+mod deploy_file;
 mod endless_answers;
 mod entry_fleet;
 mod eras;
