Callers: answers behind a slow request reach their caller before a planned stop ends

A caller that sent requests ahead lost answers that the host already had, if the first request of its connection still ran when the shutdown time was up: the host closed the connection with all of them.

Cause: answers go out in order, and nothing ended a request earlier than its own deadline or the end of the process.

Change: the phase `Ending` begins a twentieth of the usable shutdown time before the end (0.28 s at six seconds). While a finished answer waits behind it, the request that a connection answers is told by `AnswerDue` to answer, and the proxy treats that as its deadline: 504 if it was sent, 503 if not.

--- a/crates/buckthornturn/src/callers/connection_server.rs
+++ b/crates/buckthornturn/src/callers/connection_server.rs
@@ -51,6 +51,8 @@
     Leaving,
     /// Accepts no connections, and closes each one once its requests are answered.
     Closing,
+    /// Is about to end: asks requests for their answers if answers of later ones of their connection wait behind them.
+    Ending,
 }
 
 /// Serves the HTTP/1 and HTTP/2 connections of one listener.
@@ -285,6 +287,13 @@
     builder
 }
 
+/// Returns once the server is about to end; never if its phase is no longer controlled.
+pub(super) async fn wait_until_ending(phase: &mut watch::Receiver<ServerPhase>) {
+    if phase.wait_for(|phase| *phase == ServerPhase::Ending).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 pub(super) async fn wait_until_closing(phase: &mut watch::Receiver<ServerPhase>) {
-    let _ = phase.wait_for(|phase| *phase == ServerPhase::Closing).await;
+    let _ = phase.wait_for(|phase| *phase >= ServerPhase::Closing).await;
 }
--- a/crates/buckthornturn/src/callers/connection_task.rs
+++ b/crates/buckthornturn/src/callers/connection_task.rs
@@ -31,6 +31,7 @@
 use tokio::io::AsyncWrite;
 use tokio::sync::watch;
 
+use crate::callers::AnswerDue;
 use crate::callers::ArrivalTime;
 use crate::callers::CallerBody;
 use crate::callers::ConnectionRequests;
@@ -45,6 +46,7 @@
 use crate::callers::SharedStream;
 use crate::callers::TakenRequest;
 use crate::callers::connection_server::wait_until_closing;
+use crate::callers::connection_server::wait_until_ending;
 use crate::resources::ConnectionMeter;
 use crate::resources::GuardedBody;
 use crate::resources::RequestGuard;
@@ -56,6 +58,9 @@
 /// fit, and thousands of connections do on the smallest host.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 
+/// Pause between two looks whether answers wait behind a request that runs while the server ends.
+const DUE_CHECK_PAUSE: Duration = Duration::from_millis(20);
+
 /// Answer to one request; its body ends the request in the meter of its connection.
 type ServiceFuture<B> =
     BoxFuture<'static, Result<Response<GuardedBody<B, Option<RequestGuard>>>, Infallible>>;
@@ -84,6 +89,8 @@
     early: Option<Mutex<EarlyRequests<B>>>,
     starter: RequestStarter<B>,
     phase: watch::Receiver<ServerPhase>,
+    /// Signal to the request that the HTTP server has reached last.
+    current: Mutex<AnswerDue>,
 }
 
 impl<S, B> ConnectionTask<S, B>
@@ -119,7 +126,8 @@
         let stream = SharedStream::new(ReadAhead::new(stream, MAX_READ_AHEAD_BYTES, scanner));
         let requests = ConnectionRequests::default();
         let starter = starter(handler);
-        let shared = ConnectionState { stream, requests, early, starter, phase };
+        let current = Mutex::default();
+        let shared = ConnectionState { stream, requests, early, starter, phase, current };
         Self { shared: Arc::new(shared), meter: None }
     }
 
@@ -155,8 +163,7 @@
                 () = wait_for_missing_request(&shared.requests, head_timeout) => false,
                 () = wait_until_settled(&mut phase) => true,
             };
-            let is_open = is_closing
-                && shared.drive_until(connection.as_mut(), || !shared.has_started_ahead()).await;
+            let is_open = is_closing && shared.finish_started(connection.as_mut()).await;
             if is_open {
                 connection.as_mut().graceful_shutdown();
                 shared.drive(connection).await;
@@ -216,6 +223,24 @@
         .await
     }
 
+    /// Serves the connection until the last request that was started is reached. Returns whether it is open then.
+    async fn finish_started<C: Future>(&self, connection: Pin<&mut C>) -> bool {
+        let mut phase = self.phase.clone();
+        let ask_for_answers = async {
+            wait_until_ending(&mut phase).await;
+            loop {
+                if self.lock_early().is_some_and(|early| early.has_answer()) {
+                    self.current.lock().unwrap_or_else(PoisonError::into_inner).ask();
+                }
+                tokio::time::sleep(DUE_CHECK_PAUSE).await;
+            }
+        };
+        tokio::select! {
+            is_open = self.drive_until(connection, || !self.has_started_ahead()) => is_open,
+            () = ask_for_answers => true,
+        }
+    }
+
     fn serve(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -251,22 +276,30 @@
             taken
         });
         match taken {
-            Some(TakenRequest::Started(answer)) => async move {
-                match answer.await {
-                    Ok(held) => held.into_response(),
-                    Err(error) => match error.try_into_panic() {
-                        Ok(panic) => std::panic::resume_unwind(panic),
-                        // The runtime shuts down, which ends this task as well.
-                        Err(_) => std::future::pending().await,
-                    },
+            Some(TakenRequest::Started(answer, due)) => {
+                self.set_current(due);
+                async move {
+                    match answer.await {
+                        Ok(held) => held.into_response(),
+                        Err(error) => match error.try_into_panic() {
+                            Ok(panic) => std::panic::resume_unwind(panic),
+                            // The runtime shuts down, which ends this task as well.
+                            Err(_) => std::future::pending().await,
+                        },
+                    }
                 }
+                .boxed()
             }
-            .boxed(),
-            Some(TakenRequest::Fresh(Some(arrived_at))) => {
-                request.extensions_mut().insert(ArrivalTime(arrived_at));
+            Some(TakenRequest::Fresh(arrived_at)) => {
+                let due = AnswerDue::default();
+                self.set_current(due.clone());
+                request.extensions_mut().insert(due);
+                if let Some(arrived_at) = arrived_at {
+                    request.extensions_mut().insert(ArrivalTime(arrived_at));
+                }
                 (self.starter)(request)
             }
-            Some(TakenRequest::Fresh(None)) | None => (self.starter)(request),
+            None => (self.starter)(request),
         }
     }
 
@@ -290,6 +323,10 @@
         Ok(response)
     }
 
+    fn set_current(&self, due: AnswerDue) {
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = due;
+    }
+
     fn is_leaving(&self) -> bool {
         *self.phase.borrow() >= ServerPhase::Leaving
     }
--- a/crates/buckthornturn/src/callers/early_requests.rs
+++ b/crates/buckthornturn/src/callers/early_requests.rs
@@ -18,6 +18,7 @@
 use hyper::body::Body;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::callers::AnswerDue;
 use crate::callers::CallerBody;
 use crate::callers::HeadScanner;
 use crate::callers::ScannedHead;
@@ -51,7 +52,7 @@
 /// Request that the HTTP server has reached.
 pub enum TakenRequest<B> {
     /// The request runs already.
-    Started(EarlyAnswer<B>),
+    Started(EarlyAnswer<B>, AnswerDue),
     /// The request is to be started; it arrived at this time if that is known.
     Fresh(Option<Instant>),
 }
@@ -67,6 +68,7 @@
     number: RequestNumber,
     head: Request<()>,
     arrived_at: Instant,
+    due: AnswerDue,
     answer: Option<EarlyAnswer<B>>,
 }
 
@@ -112,7 +114,7 @@
         };
         match next.answer {
             _ if !is_same_head(&next.head, reached) => self.give_up(scanner),
-            Some(answer) => TakenRequest::Started(answer),
+            Some(answer) => TakenRequest::Started(answer, next.due),
             None => TakenRequest::Fresh(Some(next.arrived_at)),
         }
     }
@@ -122,6 +124,12 @@
         self.ahead.is_empty()
     }
 
+    /// Whether a request that the HTTP server has not reached has its answer.
+    pub fn has_answer(&self) -> bool {
+        let mut answers = self.ahead.iter().filter_map(|request| request.answer.as_ref());
+        answers.any(AbortOnDropHandle::is_finished)
+    }
+
     /// Whether a request runs, or has its answer, that the HTTP server has not reached.
     pub fn has_started(&self) -> bool {
         self.ahead.iter().any(|request| request.answer.is_some())
@@ -141,7 +149,8 @@
                 false => RequestOrder::Ordered,
             };
             let number = self.window.record_arrival(order);
-            self.ahead.push_back(AheadRequest { number, head: request, arrived_at, answer: None });
+            let (head, due) = (request, AnswerDue::default());
+            self.ahead.push_back(AheadRequest { number, head, arrived_at, due, answer: None });
         }
     }
 
@@ -170,6 +179,7 @@
 ) -> EarlyAnswer<B> {
     let mut early = request.head.clone().map(|()| CallerBody::empty());
     early.extensions_mut().insert(ArrivalTime(request.arrived_at));
+    early.extensions_mut().insert(request.due.clone());
     let answer = starter(early);
     AbortOnDropHandle::new(tokio::spawn(async move {
         let response = answer.await;
--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! Interface for callers: steering look-ups, keys, tickets, and the handling of requests to targets.
 
 mod active_requests;
+mod answer_due;
 mod answer_stream;
 mod body_fault;
 mod caller_body;
@@ -41,6 +42,7 @@
 
 pub use active_requests::ActiveGuard;
 pub use active_requests::ActiveRequests;
+pub use answer_due::AnswerDue;
 pub use answer_stream::AnswerResources;
 pub use answer_stream::AnswerStream;
 pub use body_fault::BodyFault;
--- a/crates/buckthornturn/src/entry/entry_process.rs
+++ b/crates/buckthornturn/src/entry/entry_process.rs
@@ -63,6 +63,8 @@
 
 /// Margin before the platform kills the process by which the process exits on its own.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the usable shutdown time in which finished answers reach callers that wait for a slower one of their connection.
+const ENDING_DIVISOR: u32 = 20;
 /// Idle timeout of callers' connections, longer than the one that any configuration sets.
 const CALLER_IDLE_MS: u64 = 60_000;
 /// Largest number of concurrent caller connections where the settings state no descriptors.
@@ -172,7 +174,15 @@
         self.phase.send_replace(ServerPhase::Leaving);
         tokio::time::sleep(open_time(usable, look_up_ttl(&self.state))).await;
         self.phase.send_replace(ServerPhase::Closing);
-        let is_complete = tokio::time::timeout_at(end.into(), self.callers).await.is_ok();
+        let mut callers = self.callers;
+        let ending = end - usable / ENDING_DIVISOR;
+        let is_complete = match tokio::time::timeout_at(ending.into(), &mut callers).await {
+            Ok(_) => true,
+            Err(_) => {
+                self.phase.send_replace(ServerPhase::Ending);
+                tokio::time::timeout_at(end.into(), callers).await.is_ok()
+            }
+        };
         match is_complete {
             true => info!("host ended", kv: { host: = self.state.identity().host }),
             false => {
--- a/crates/buckthornturn/src/entry/outgoing_request.rs
+++ b/crates/buckthornturn/src/entry/outgoing_request.rs
@@ -12,6 +12,7 @@
 use http::header;
 use http::request;
 
+use crate::callers::AnswerDue;
 use crate::callers::ReplayableUpload;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::entry::RequestFacts;
@@ -30,6 +31,8 @@
     /// Whether the request may have run in an attempt without an answer.
     pub(super) outcome: RunOutcome,
     dispatches: AtomicU64,
+    /// `None` if no other request of the connection can wait for this one.
+    due: Option<AnswerDue>,
 }
 
 impl OutgoingRequest {
@@ -40,6 +43,7 @@
         upload: Arc<ReplayableUpload>,
     ) -> Self {
         remove_hop_by_hop(&mut head.headers);
+        let due = head.extensions.remove();
         head.extensions.clear();
         use_origin_form(&mut head, &facts.host);
         Self {
@@ -49,6 +53,15 @@
             is_forwarded: false,
             outcome: RunOutcome::default(),
             dispatches: AtomicU64::new(0),
+            due,
+        }
+    }
+
+    /// Returns once the answer is due, as the host ends and other answers wait for this one; otherwise it never returns.
+    pub async fn wait_until_due(&self) {
+        match &self.due {
+            Some(due) => due.wait().await,
+            None => std::future::pending().await,
         }
     }
 
--- a/crates/buckthornturn/src/entry/proxy_service.rs
+++ b/crates/buckthornturn/src/entry/proxy_service.rs
@@ -226,9 +226,13 @@
         }
         let deadline = request.facts.deadline();
         let work = self.try_targets(request, &service, record);
-        match tokio::time::timeout_at(deadline.into(), work).await {
-            Ok(result) => result,
-            Err(_) => Err(timeout_refusal(request.dispatches())),
+        tokio::select! {
+            biased;
+            result = work => result,
+            () = tokio::time::sleep_until(deadline.into()) => {
+                Err(timeout_refusal(request.dispatches()))
+            }
+            () = request.wait_until_due() => Err(timeout_refusal(request.dispatches())),
         }
     }
 
--- a/crates/buckthornturn/tests/pipelined_requests.rs
+++ b/crates/buckthornturn/tests/pipelined_requests.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use buckthornturn::callers::AnswerDue;
 use buckthornturn::callers::ConnectionServer;
 use buckthornturn::callers::ServerPhase;
 use buckthornturn::settings::CallerBounds;
@@ -32,6 +33,8 @@
 /// Answers of which one is held at a time while the ones ahead are in progress.
 const LARGE_ANSWER_BYTES: usize = 100_000;
 const MAX_HELD_BYTES: u64 = 100_000;
+/// Body of the answer of a request that is asked for it before it is done.
+const GIVEN_UP: &str = "given up";
 const WORK_HEADER: &str = "work-ms";
 
 /// Paths of the requests that the server has begun, and of those that it has dropped or answered.
@@ -99,8 +102,12 @@
             let _end = journal.begin(&path);
             let work = request.headers().get(WORK_HEADER).map(|value| value.to_str().unwrap());
             let work = work.map(|text| Duration::from_millis(text.parse().unwrap()));
+            let due = request.extensions().get::<AnswerDue>().cloned().unwrap_or_default();
             let _ = request.into_body().collect().await;
-            tokio::time::sleep(work.unwrap_or(WORK_TIME)).await;
+            tokio::select! {
+                () = tokio::time::sleep(work.unwrap_or(WORK_TIME)) => {}
+                () = due.wait() => return Response::new(Full::new(GIVEN_UP.into())),
+            }
             let text = match path.starts_with("/large") {
                 true => path + &" ".repeat(LARGE_ANSWER_BYTES),
                 false => path,
@@ -309,3 +316,32 @@
     tokio::time::sleep(LEAVE_SLACK).await;
     assert_eq!(journal.ended(), ["/1", "/2", "/3"]);
 }
+
+macro_rules! ending_cases {
+    ($($name:ident: $requests:expr => $answers:expr;)*) => {
+        $(
+            /// Guards against answers that a server has, and cuts at its end behind a request that still runs.
+            #[tokio::test]
+            async fn $name() {
+                let (phase, journal) = (watch::Sender::new(ServerPhase::Serving), Journal::default());
+                let address = start_server(&phase, &journal, true).await;
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                stream.write_all($requests.concat().as_bytes()).await.unwrap();
+                tokio::time::sleep(SEND_PAUSE).await;
+                phase.send_replace(ServerPhase::Closing);
+                tokio::time::sleep(LEAVE_SLACK).await;
+                phase.send_replace(ServerPhase::Ending);
+                let read = read_answers(&mut stream, $answers.len());
+                let answers = tokio::time::timeout(LEAVE_SLACK, read).await.unwrap();
+                assert_eq!(answers, $answers);
+            }
+        )*
+    };
+}
+
+ending_cases! {
+    an_answer_behind_a_slow_request_is_given_before_the_end: [get("/1", 5_000), get("/2", 20)] => [GIVEN_UP, "/2"];
+    an_answer_behind_two_slow_requests_is_given_before_the_end: [get("/1", 5_000), get("/2", 5_000), get("/3", 20)] => [GIVEN_UP, GIVEN_UP, "/3"];
+    a_slow_request_behind_the_last_answer_may_run_on: [get("/1", 5_000), get("/2", 20), get("/3", 600)] => [GIVEN_UP, "/2", "/3"];
+    a_slow_request_that_holds_up_no_answer_may_run_on: [get("/1", 600), get("/2", 700)] => ["/1", "/2"];
+}
--- a/crates/buckthornturn/tests/platform/pipelines.rs
+++ b/crates/buckthornturn/tests/platform/pipelines.rs
@@ -12,10 +12,16 @@
 
 use crate::entry_fleet::CallerRequest;
 use crate::entry_fleet::EntryFleet;
+use crate::entry_fleet::configuration;
 
 /// Time in which two requests time out side by side but not one after the other; each takes 1 s.
 const SIDE_BY_SIDE_TIME: Duration = Duration::from_millis(1_800);
 
+/// Time in which a host applies a configuration.
+const APPLY_TIME: Duration = Duration::from_secs(1);
+/// Time in which a request reaches a target.
+const PASS_TIME: Duration = Duration::from_millis(200);
+
 fn text_of(call: &CallerRequest) -> String {
     let stamp = RequestStamp::keeping(call.method, call.path, &call.body).to_string();
     let mut text = format!("{} {} HTTP/1.1\r\n{STAMP_HEADER}: {stamp}\r\n", call.method, call.path);
@@ -31,10 +37,19 @@
 /// Statuses of the answers to requests that are sent at once, and the attempts that they name.
 async fn send_at_once(fleet: &EntryFleet, calls: &[CallerRequest]) -> (Vec<u16>, Vec<String>) {
     let mut stream = TcpStream::connect(fleet.ports[0].callers).await.unwrap();
+    send_requests(&mut stream, calls).await;
+    read_answers(&mut stream, calls.len()).await
+}
+
+async fn send_requests(stream: &mut TcpStream, calls: &[CallerRequest]) {
     let text: String = calls.iter().map(text_of).collect();
     stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Reads answers; returns their statuses and the attempts that they name.
+async fn read_answers(stream: &mut TcpStream, count: usize) -> (Vec<u16>, Vec<String>) {
     let (mut input, mut statuses, mut attempts) = (Vec::new(), Vec::new(), Vec::new());
-    while statuses.len() < calls.len() {
+    while statuses.len() < count {
         let Some(end) = input.windows(4).position(|part| part == b"\r\n\r\n") else {
             assert_ne!(stream.read_buf(&mut input).await.unwrap(), 0);
             continue;
@@ -90,3 +105,25 @@
     assert_eq!(attempts.iter().collect::<Vec<_>>(), asked);
     assert_eq!(fleet.run_count(), 20);
 }
+
+/// Guards against answers that a host has, and cuts at the end of its shutdown behind a request that still runs.
+#[tokio::test]
+async fn answers_behind_a_slow_one_are_given_before_a_host_ends() {
+    let mut fleet = EntryFleet::start(1, 2).await;
+    let mut patient = configuration("00000002", &["key-1"], 1_000.0);
+    patient["resources"][0]["spec"]["timeout_ms"] = 8_000.into();
+    fleet.store.put("config", "main", patient);
+    tokio::time::sleep(APPLY_TIME).await;
+    let page = || CallerRequest::page().with_header("x-request-deadline", "8000");
+    let mut stream = TcpStream::connect(fleet.ports[0].callers).await.unwrap();
+    fleet.targets.iter().for_each(|target| target.set_mode(TargetMode::Silent));
+    send_requests(&mut stream, &[page()]).await;
+    tokio::time::sleep(PASS_TIME).await;
+    fleet.targets.iter().for_each(|target| target.set_mode(TargetMode::Healthy));
+    send_requests(&mut stream, &[page(), page()]).await;
+    tokio::time::sleep(PASS_TIME).await;
+    let shutdown = tokio::spawn(fleet.hosts.remove(0).shutdown());
+    assert_eq!(read_answers(&mut stream, 3).await.0, [504, 200, 200]);
+    drop(stream);
+    assert!(shutdown.await.unwrap());
+}
