Answers: a status above 599 is not passed on

Callers of both interfaces got bytes of a failing target as an answer whose status HTTP does not define, from 600 to 999.

Cause: the HTTP client refuses statuses below 100, so that 000 was answered 502 already, but takes all three-digit numbers above. Nothing else looked at the class of a status.

Change: an answer above 599 counts as lost, like one that cannot be parsed: 502, and a request that may be repeated goes to another target. `answer-status-unknown` is the reason in the log of entry hosts.

Evidence: of tests/platform/invalid_statuses.rs the cases of 600 and 999 failed before (both were passed on with the target's signature), those of 000, 099, two and four digits passed; of tests/requests.rs the case of 600 failed and that of 000 passed. All pass now.

--- a/crates/buckthornturn/src/callers/mod.rs
+++ b/crates/buckthornturn/src/callers/mod.rs
@@ -106,6 +106,7 @@
 pub use target_connection::Idle;
 pub use target_connection::SendError;
 pub use target_connection::TargetConnection;
+pub use target_connection::has_known_class;
 pub use target_connection::is_closed_without_answer;
 pub use target_connection::is_silent;
 pub use target_pool::PoolKey;
--- a/crates/buckthornturn/src/callers/request_dispatcher.rs
+++ b/crates/buckthornturn/src/callers/request_dispatcher.rs
@@ -29,6 +29,7 @@
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
+use crate::callers::has_known_class;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::callers::header_filter::remove_product_headers;
 use crate::callers::request_plan::REQUEST_ID_HEADER;
@@ -263,7 +264,7 @@
             self.pool.suspend_reuse(key.address);
             return AttemptResult::Lost(stage.fail(StatusCode::BAD_GATEWAY, "answer-crossed"));
         }
-        if parts.status == StatusCode::SWITCHING_PROTOCOLS {
+        if parts.status == StatusCode::SWITCHING_PROTOCOLS || !has_known_class(parts.status) {
             return AttemptResult::Lost(stage.fail(StatusCode::BAD_GATEWAY, "target-failed"));
         }
         if is_shed(&parts) {
--- a/crates/buckthornturn/src/callers/target_connection.rs
+++ b/crates/buckthornturn/src/callers/target_connection.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
+use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -57,6 +58,11 @@
     headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
 }
 
+/// Whether a status is of a class that HTTP defines. The HTTP client also accepts statuses from 600 to 999.
+pub fn has_known_class(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// Whether a connection failed because the other end went silent.
 pub fn is_silent(error: &hyper::Error) -> bool {
     io_error_kind(error) == Some(ErrorKind::TimedOut)
--- a/crates/buckthornturn/src/entry/attempt_runner.rs
+++ b/crates/buckthornturn/src/entry/attempt_runner.rs
@@ -29,6 +29,7 @@
 use crate::callers::TargetConnection;
 use crate::callers::TargetPool;
 use crate::callers::WholeUpload;
+use crate::callers::has_known_class;
 use crate::callers::header_filter::remove_hop_by_hop;
 use crate::callers::is_closed_without_answer;
 use crate::callers::is_silent;
@@ -374,6 +375,7 @@
         // Callers take these statuses for a promise, and would repeat a request that may have run.
         status if promises_not_run(status) && !is_repeatable => Some("answer-unstated"),
         StatusCode::SWITCHING_PROTOCOLS => Some("answer-upgrades"),
+        status if !has_known_class(status) => Some("answer-status-unknown"),
         _ if parts.headers.contains_key(header::CONTENT_ENCODING) => Some("answer-encoded"),
         status if status.is_success() && !facts.is_signed => Some("answer-unsigned"),
         status if status.is_success() && facts.attempt_id.is_none() => Some("answer-unnamed"),
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod eras;
 mod heads;
 mod host_restarts;
+mod invalid_statuses;
 mod leaving;
 mod limits;
 mod lost_links;
--- a/crates/buckthornturn/tests/requests.rs
+++ b/crates/buckthornturn/tests/requests.rs
@@ -53,6 +53,8 @@
     shed_payment_is_tried_on_another_target: [TargetStep::Shed], "POST /pay", "sum" => 200, "", 1, 1;
     answer_with_another_request_id_leaves_a_payment_unknown: [TargetStep::Send(OTHER_REQUEST_ID_ANSWER)], "POST /pay", "sum" => 502, "unknown", 1, 0;
     read_answered_with_another_request_id_is_tried_on_another_target: [TargetStep::Send(OTHER_REQUEST_ID_ANSWER)], "GET /read", "" => 200, "", 1, 1;
+    answer_of_status_zero_is_unknown: [TargetStep::SendAndClose("HTTP/1.1 000 Trouble\r\ncontent-length: 0\r\n\r\n")], "POST /pay", "sum" => 502, "unknown", 1, 0;
+    answer_above_the_last_class_is_unknown: [TargetStep::SendAndClose("HTTP/1.1 600 Late\r\ncontent-length: 0\r\n\r\n")], "POST /pay", "sum" => 502, "unknown", 1, 0;
     broken_answer_head_is_unknown: [TargetStep::SendAndClose("HTTP/9 what\r\n\r\n")], "POST /pay", "sum" => 502, "unknown", 1, 0;
     switched_protocol_is_unknown: [TargetStep::Send("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n")], "POST /pay", "" => 502, "unknown", 1, 0;
     target_503_is_forwarded: [TargetStep::Send("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")], "GET /read", "" => 503, "", 1, 0;
