Tests: answers without a length that a target resets while the upload is under way

The users saw a system that passed on such a part of an answer as the whole. The own interface is checked with 20 uploads a case.

The links of the stand-in network end in order what a target has reset, so that no test through them could show this fault. The new cases use `start_direct_host`, whose connections pass no link.

--- a/crates/buckthornturn/tests/platform/entry_fleet.rs
+++ b/crates/buckthornturn/tests/platform/entry_fleet.rs
@@ -137,6 +137,14 @@
         self.start_host_beside(number, store, &[]).await;
     }
 
+    /// Starts one more host whose connections to targets pass no link, which would end in order what a target has reset.
+    pub async fn start_direct_host(&mut self, number: usize) {
+        let ports = free_ports();
+        let settings = settings((number, NORTH), &ports, self.store.address(), &[]);
+        let dialer = Arc::new(KeepaliveDialer);
+        self.start_process_with(settings, ports, Arc::clone(&dialer) as _, dialer).await;
+    }
+
     async fn start_host_beside(&mut self, number: usize, store: SocketAddr, seeds: &[SocketAddr]) {
         let ports = free_ports();
         let settings = settings((number, NORTH), &ports, store, seeds);
@@ -159,16 +167,26 @@
         settings: EntrySettings,
         ports: HostPorts,
         store_dialer: Arc<dyn StreamDialer>,
+    ) {
+        let dialer = RelayedDialer::new(Arc::clone(&self.links), host_links(number));
+        self.start_process_with(settings, ports, store_dialer, Arc::new(dialer)).await;
+    }
+
+    async fn start_process_with(
+        &mut self,
+        settings: EntrySettings,
+        ports: HostPorts,
+        store_dialer: Arc<dyn StreamDialer>,
+        dialer: Arc<dyn StreamDialer>,
     ) {
         let source =
             StoreSource::new(settings.platform.store, settings.domains.clone(), store_dialer);
         let source = Arc::new(source);
-        let dialer = RelayedDialer::new(Arc::clone(&self.links), host_links(number));
         let parts = HostPlatform {
             archive: Arc::clone(&source) as Arc<dyn CrashArchive>,
             source,
             dialect: Arc::new(WireDialect),
-            dialer: Arc::new(dialer),
+            dialer,
         };
         self.hosts.push(EntryProcess::start(settings, parts).await.unwrap());
         self.ports.push(ports);
--- a/crates/buckthornturn/tests/platform/main.rs
+++ b/crates/buckthornturn/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod raw_target;
 mod request_bytes;
 mod requests;
+mod reset_answers;
 mod silent_store;
 mod state;
 mod troubled_days;
--- a/crates/buckthornturn/tests/requests.rs
+++ b/crates/buckthornturn/tests/requests.rs
@@ -112,6 +112,31 @@
     wait_until("the target connection is closed", || target.open_connections() == 0).await;
 }
 
+macro_rules! reset_answers {
+    ($($name:ident: $bytes:literal uploaded, reset after $pause_ms:literal ms;)*) => {$(
+        /// Guards against a part of an answer without a length that a caller gets as the whole of it.
+        #[tokio::test]
+        async fn $name() {
+            let text = "HTTP/1.1 200 OK\r\n\r\nhalf";
+            let step = TargetStep::SendEarlyAndReset(text, Duration::from_millis($pause_ms));
+            let target = ScriptedTarget::start(&[step]).await;
+            target.expect_malformed_bodies();
+            let host = TestHost::start(&[target.address]).await;
+            for _ in 0..20 {
+                let answer = host.send("POST /pay", &[], &"u".repeat($bytes)).await;
+                let is_complete = answer.status == 200 && answer.text.ends_with("0\r\n\r\n");
+                assert!(!is_complete, "{}", answer.text);
+            }
+        }
+    )*};
+}
+
+reset_answers! {
+    answer_to_a_long_upload_that_is_reset_is_not_completed: 400_000 uploaded, reset after 0 ms;
+    answer_to_a_long_upload_that_is_reset_later_is_not_completed: 400_000 uploaded, reset after 10 ms;
+    answer_to_a_short_upload_that_is_reset_is_not_completed: 1_000 uploaded, reset after 5 ms;
+}
+
 macro_rules! truncated_answers {
     ($($name:ident: $step:expr, $whole:expr;)*) => {$(
         #[tokio::test]
--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use socket2::SockRef;
 use standin::body_check::BodyTally;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -29,6 +30,8 @@
     Send(&'static str),
     /// Sends bytes unchanged and closes the connection.
     SendAndClose(&'static str),
+    /// Sends bytes unchanged as soon as it has the head, and resets the connection after a pause without reading the body.
+    SendEarlyAndReset(&'static str, Duration),
     /// Closes the connection without an answer once the request has arrived.
     Close,
     /// Reads the request and never answers.
@@ -144,6 +147,10 @@
         let step = shared.steps[number.min(shared.steps.len() - 1)];
         let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
         answer_before_body(&mut stream, step, &echo).await?;
+        if let TargetStep::SendEarlyAndReset(_, pause) = step {
+            tokio::time::sleep(pause).await;
+            return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok();
+        }
         let body = match step {
             TargetStep::AnswerEarly => String::new(),
             _ => {
@@ -155,7 +162,7 @@
             }
         };
         match step {
-            TargetStep::ShedEarly | TargetStep::EchoEarly => {}
+            TargetStep::ShedEarly | TargetStep::EchoEarly | TargetStep::SendEarlyAndReset(..) => {}
             TargetStep::AnswerAroundBody(bytes) => {
                 stream.write_all(&vec![b'z'; bytes - bytes / 2]).await.ok()?;
             }
@@ -192,6 +199,7 @@
 async fn answer_before_body(stream: &mut TcpStream, step: TargetStep, echo: &str) -> Option<()> {
     match step {
         TargetStep::ShedEarly => stream.write_all(SHED.as_bytes()).await.ok(),
+        TargetStep::SendEarlyAndReset(text, _) => stream.write_all(text.as_bytes()).await.ok(),
         TargetStep::EchoEarly => stream.write_all(echo.as_bytes()).await.ok(),
         TargetStep::AnswerAroundBody(bytes) => {
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
