--- a/crates/buckthornturn/tests/support/scripted_target.rs
+++ b/crates/buckthornturn/tests/support/scripted_target.rs
@@ -147,10 +147,6 @@
         let step = shared.steps[number.min(shared.steps.len() - 1)];
         let echo = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
         answer_before_body(&mut stream, step, &echo).await?;
-        if let TargetStep::SendEarlyAndReset(_, pause) = step {
-            tokio::time::sleep(pause).await;
-            return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok();
-        }
         let body = match step {
             TargetStep::AnswerEarly => String::new(),
             _ => {
@@ -162,7 +158,7 @@
             }
         };
         match step {
-            TargetStep::ShedEarly | TargetStep::EchoEarly | TargetStep::SendEarlyAndReset(..) => {}
+            TargetStep::ShedEarly | TargetStep::EchoEarly => {}
             TargetStep::AnswerAroundBody(bytes) => {
                 stream.write_all(&vec![b'z'; bytes - bytes / 2]).await.ok()?;
             }
@@ -181,7 +177,7 @@
                 stream.write_all(text.as_bytes()).await.ok()?;
                 return None;
             }
-            TargetStep::Close => return None,
+            TargetStep::Close | TargetStep::SendEarlyAndReset(..) => return None,
             TargetStep::Hang => drop(stream.read_u8().await),
             TargetStep::SendEndlessBody => send_endless_body(&mut stream).await?,
             TargetStep::Shed => stream.write_all(SHED.as_bytes()).await.ok()?,
@@ -195,11 +191,16 @@
     }
 }
 
-/// Sends what a step sends before the body of its request is read.
+/// Sends what a step sends before the body of its request is read. `None` ends the connection.
 async fn answer_before_body(stream: &mut TcpStream, step: TargetStep, echo: &str) -> Option<()> {
     match step {
         TargetStep::ShedEarly => stream.write_all(SHED.as_bytes()).await.ok(),
-        TargetStep::SendEarlyAndReset(text, _) => stream.write_all(text.as_bytes()).await.ok(),
+        TargetStep::SendEarlyAndReset(text, pause) => {
+            stream.write_all(text.as_bytes()).await.ok()?;
+            tokio::time::sleep(pause).await;
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).ok()?;
+            None
+        }
         TargetStep::EchoEarly => stream.write_all(echo.as_bytes()).await.ok(),
         TargetStep::AnswerAroundBody(bytes) => {
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
