--- /dev/null
+++ b/review/rig-3/src/poison.rs
@@ -0,0 +1,156 @@
+//! An upload that crashes each server which begins to run it, and comes again at any machine.
+
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::deployment::Deployment;
+use crate::deployment::connect;
+use crate::deployment::request_head;
+use crate::host::Host;
+use crate::http::Head;
+use crate::record::Record;
+use crate::server::Next;
+use crate::server::Work;
+
+const PATH: &str = "/subida/ceremonia-417";
+/// `stable_window_ms` of the sites, and the retries that the rule allows later than that after the third crash.
+const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+const MAX_LATE_RETRIES: usize = 3;
+const TIME_BUDGET_MS: u32 = 2_000;
+/// Pieces in which the client sends its recording, and the time between two of them.
+const PIECE_BYTES: usize = 4_000;
+const PIECE_PAUSE: Duration = Duration::from_millis(25);
+
+/// How the client sends the upload each time that it comes again.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Sending {
+    /// With a length, in pieces.
+    Pieces,
+    /// At once, with a length and in chunks in turn.
+    Framings,
+}
+
+/// The upload is sent in pieces, and the server crashes on the first of them.
+pub fn play_pieces(record: &Record, files: &Path, has_trouble: bool) -> Result<bool, String> {
+    play(record, files, has_trouble, Sending::Pieces, Duration::from_millis(1_000), 25)
+}
+
+/// The upload is sent with a length one time and in chunks the next, and the server crashes once it has all of it.
+pub fn play_framings(record: &Record, files: &Path, has_trouble: bool) -> Result<bool, String> {
+    play(record, files, has_trouble, Sending::Framings, Duration::from_millis(2_000), 24)
+}
+
+fn play(
+    record: &Record,
+    files: &Path,
+    has_trouble: bool,
+    sending: Sending,
+    pause: Duration,
+    count: usize,
+) -> Result<bool, String> {
+    // Times at which the request reached a server, and at which a server crashed under it.
+    let arrivals = Arc::new(Mutex::new(Vec::<Instant>::new()));
+    let crashes = Arc::new(Mutex::new(Vec::<Instant>::new()));
+    let (seen_arrivals, seen_crashes) = (Arc::clone(&arrivals), Arc::clone(&crashes));
+    let work: Work = Arc::new(move |server, head, input, output| {
+        let is_upload = head.path() == PATH;
+        if is_upload {
+            seen_arrivals.lock().unwrap().push(Instant::now());
+        }
+        if is_upload && has_trouble {
+            // The server begins with the first bytes of a long body, or with the whole of a short one.
+            let begun = match sending {
+                Sending::Pieces => input.read_exact(&mut [0; 1_000]).is_ok(),
+                Sending::Framings => head.read_body(input).is_ok(),
+            };
+            if begun {
+                seen_crashes.lock().unwrap().push(Instant::now());
+                return Next::Crash;
+            }
+            return Next::Close;
+        }
+        match head.read_body(input) {
+            Ok(_) => server.answer(output, head, "200 OK", "", b"recorded"),
+            Err(_) => Next::Close,
+        }
+    });
+    let deployment = Deployment::start(files, 3, &work)?;
+    // Machines are in touch once they have run for the stable window.
+    std::thread::sleep(STABLE_WINDOW + Duration::from_secs(1));
+    let body: Vec<u8> = match sending {
+        Sending::Pieces => vec![b'r'; 60_000],
+        Sending::Framings => vec![b'r'; 4_000],
+    };
+    let statuses = std::thread::scope(|scope| {
+        let mut sent = Vec::new();
+        for number in 0..count {
+            let host = &deployment.hosts[number % deployment.hosts.len()];
+            let body = &body;
+            sent.push(scope.spawn(move || {
+                let is_chunked = sending == Sending::Framings && number % 2 == 1;
+                let status = send(host, body, sending, is_chunked);
+                record.write(format!("upload {number} to {}: {status:?}", host.name));
+                status
+            }));
+            std::thread::sleep(pause);
+        }
+        sent.into_iter().filter_map(|thread| thread.join().ok()).collect::<Vec<_>>()
+    });
+    let (arrivals, crashes) = (arrivals.lock().unwrap(), crashes.lock().unwrap());
+    let answered = statuses.iter().filter(|status| **status == Some(200)).count();
+    record.tell(format!(
+        "uploads {count}, answered with success {answered}, arrivals at servers {}, servers crashed {}",
+        arrivals.len(),
+        crashes.len()
+    ));
+    if !has_trouble {
+        return if answered == count {
+            Ok(true)
+        } else {
+            Err("uploads failed without trouble".into())
+        };
+    }
+    let Some(third) = crashes.get(2) else { return Ok(true) };
+    let late = arrivals.iter().filter(|at| **at > *third + STABLE_WINDOW).count();
+    record.tell(format!(
+        "arrivals later than {STABLE_WINDOW:?} after the third crash: {late}, allowed {MAX_LATE_RETRIES}"
+    ));
+    Ok(late <= MAX_LATE_RETRIES)
+}
+
+/// Sends the upload once on a new connection, and returns the status of the answer.
+fn send(host: &Host, body: &[u8], sending: Sending, is_chunked: bool) -> Option<u16> {
+    let (_, head) = request_head("POST", PATH, TIME_BUDGET_MS);
+    let mut stream = connect(host).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let mut input = BufReader::new(stream.try_clone().ok()?);
+    let written = (|| {
+        if is_chunked {
+            let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n", body.len());
+            return stream.write_all(&[start.as_bytes(), body, b"\r\n0\r\n\r\n"].concat());
+        }
+        let start = format!("{head}Content-Length: {}\r\n\r\n", body.len());
+        match sending {
+            Sending::Framings => stream.write_all(&[start.as_bytes(), body].concat()),
+            Sending::Pieces => {
+                stream.write_all(start.as_bytes())?;
+                for piece in body.chunks(PIECE_BYTES) {
+                    stream.write_all(piece)?;
+                    std::thread::sleep(PIECE_PAUSE);
+                }
+                Ok(())
+            }
+        }
+    })();
+    let _ = written;
+    let head = Head::read(&mut input).ok()??;
+    let mut rest = Vec::new();
+    let _ = input.by_ref().take(head.length() as u64).read_to_end(&mut rest);
+    Some(head.status())
+}
