--- a/review/rig-3/src/host.rs
+++ b/review/rig-3/src/host.rs
@@ -73,18 +73,6 @@
         matches!(head, Ok(Some(head)) if head.status() == 200)
     }
 
-    /// Resident memory in MB; `None` once the process has ended.
-    pub fn memory_mb(&self) -> Option<u64> {
-        let id = self.process.as_ref()?.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        line.trim().trim_end_matches(" kB").parse::<u64>().ok().map(|kb| kb / 1_024)
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.process.as_mut().is_some_and(|process| !matches!(process.try_wait(), Ok(None)))
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -1,7 +1,6 @@
 //! Plays the scripts of this review. `rig-3 CASE FOLDER` writes `record.txt` into FOLDER and exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
-mod crowd;
 mod deployment;
 mod host;
 mod http;
@@ -26,8 +25,8 @@
     let (name, folder) =
         (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
     let case: Case = match &*name {
-        "crowd" => crowd::play,
         "poison" => poison::play_pieces,
+        "answers" => poison::play_answers,
         "framings" => poison::play_framings,
         "pipelines" => pipelines::play,
         _ => {
--- a/review/rig-3/src/poison.rs
+++ b/review/rig-3/src/poison.rs
@@ -1,5 +1,6 @@
-//! An upload that crashes each server which begins to run it, and comes again at any machine.
+//! A request that crashes each server which begins to run it, and comes again at any machine.
 
+use std::collections::HashSet;
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
@@ -18,7 +19,8 @@
 use crate::server::Next;
 use crate::server::Work;
 
-const PATH: &str = "/subida/ceremonia-417";
+const UPLOAD_PATH: &str = "/subida/ceremonia-417";
+const PAGE_PATH: &str = "/pagina/memorial-417";
 /// `stable_window_ms` of the sites, and the retries that the rule allows later than that after the third crash.
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
 const MAX_LATE_RETRIES: usize = 3;
@@ -26,6 +28,9 @@
 /// Pieces in which the client sends its recording, and the time between two of them.
 const PIECE_BYTES: usize = 4_000;
 const PIECE_PAUSE: Duration = Duration::from_millis(25);
+/// Length of a page, and what a server has sent of it when it crashes.
+const PAGE_BYTES: usize = 60_000;
+const SENT_PAGE_BYTES: usize = 20_000;
 
 /// How the client sends the upload each time that it comes again.
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -34,6 +39,17 @@
     Pieces,
     /// At once, with a length and in chunks in turn.
     Framings,
+    /// As a page, without a body.
+    Page,
+}
+
+impl Sending {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Page => PAGE_PATH,
+            Self::Pieces | Self::Framings => UPLOAD_PATH,
+        }
+    }
 }
 
 /// The upload is sent in pieces, and the server crashes on the first of them.
@@ -46,6 +62,11 @@
     play(record, files, has_trouble, Sending::Framings, Duration::from_millis(2_000), 24)
 }
 
+/// A page is asked for, and the server crashes while it sends the answer.
+pub fn play_answers(record: &Record, files: &Path, has_trouble: bool) -> Result<bool, String> {
+    play(record, files, has_trouble, Sending::Page, Duration::from_millis(1_000), 25)
+}
+
 fn play(
     record: &Record,
     files: &Path,
@@ -54,20 +75,22 @@
     pause: Duration,
     count: usize,
 ) -> Result<bool, String> {
-    // Times at which the request reached a server, and at which a server crashed under it.
-    let arrivals = Arc::new(Mutex::new(Vec::<Instant>::new()));
+    // Times at which the request reached a server with its attempt id, and at which a server crashed under it.
+    let arrivals = Arc::new(Mutex::new(Vec::<(Instant, String)>::new()));
     let crashes = Arc::new(Mutex::new(Vec::<Instant>::new()));
     let (seen_arrivals, seen_crashes) = (Arc::clone(&arrivals), Arc::clone(&crashes));
     let work: Work = Arc::new(move |server, head, input, output| {
-        let is_upload = head.path() == PATH;
-        if is_upload {
-            seen_arrivals.lock().unwrap().push(Instant::now());
+        let is_it = head.path() == sending.path();
+        if is_it {
+            let id = head.get("x-attempt-id").unwrap_or_default().to_owned();
+            seen_arrivals.lock().unwrap().push((Instant::now(), id));
         }
-        if is_upload && has_trouble {
+        if is_it && has_trouble {
             // The server begins with the first bytes of a long body, or with the whole of a short one.
             let begun = match sending {
                 Sending::Pieces => input.read_exact(&mut [0; 1_000]).is_ok(),
                 Sending::Framings => head.read_body(input).is_ok(),
+                Sending::Page => server.answer_part(output, head, PAGE_BYTES, SENT_PAGE_BYTES),
             };
             if begun {
                 seen_crashes.lock().unwrap().push(Instant::now());
@@ -76,6 +99,9 @@
             return Next::Close;
         }
         match head.read_body(input) {
+            Ok(_) if sending == Sending::Page => {
+                server.answer(output, head, "200 OK", "", &[b'p'; PAGE_BYTES])
+            }
             Ok(_) => server.answer(output, head, "200 OK", "", b"recorded"),
             Err(_) => Next::Close,
         }
@@ -86,6 +112,7 @@
     let body: Vec<u8> = match sending {
         Sending::Pieces => vec![b'r'; 60_000],
         Sending::Framings => vec![b'r'; 4_000],
+        Sending::Page => Vec::new(),
     };
     let statuses = std::thread::scope(|scope| {
         let mut sent = Vec::new();
@@ -95,7 +122,7 @@
             sent.push(scope.spawn(move || {
                 let is_chunked = sending == Sending::Framings && number % 2 == 1;
                 let status = send(host, body, sending, is_chunked);
-                record.write(format!("upload {number} to {}: {status:?}", host.name));
+                record.write(format!("request {number} to {}: {status:?}", host.name));
                 status
             }));
             std::thread::sleep(pause);
@@ -105,7 +132,7 @@
     let (arrivals, crashes) = (arrivals.lock().unwrap(), crashes.lock().unwrap());
     let answered = statuses.iter().filter(|status| **status == Some(200)).count();
     record.tell(format!(
-        "uploads {count}, answered with success {answered}, arrivals at servers {}, servers crashed {}",
+        "requests {count}, answered with success {answered}, arrivals at servers {}, servers crashed {}",
         arrivals.len(),
         crashes.len()
     ));
@@ -113,20 +140,24 @@
         return if answered == count {
             Ok(true)
         } else {
-            Err("uploads failed without trouble".into())
+            Err("requests failed without trouble".into())
         };
     }
     let Some(third) = crashes.get(2) else { return Ok(true) };
-    let late = arrivals.iter().filter(|at| **at > *third + STABLE_WINDOW).count();
+    let is_late = |at: Instant| at > *third + STABLE_WINDOW;
+    let late: HashSet<&str> =
+        arrivals.iter().filter(|(at, _)| is_late(*at)).map(|(_, id)| &**id).collect();
     record.tell(format!(
-        "arrivals later than {STABLE_WINDOW:?} after the third crash: {late}, allowed {MAX_LATE_RETRIES}"
+        "retries that reached servers later than {STABLE_WINDOW:?} after the third crash: {}, allowed {MAX_LATE_RETRIES}",
+        late.len()
     ));
-    Ok(late <= MAX_LATE_RETRIES)
+    Ok(late.len() <= MAX_LATE_RETRIES)
 }
 
-/// Sends the upload once on a new connection, and returns the status of the answer.
+/// Sends the request once on a new connection, and returns the status of the answer.
 fn send(host: &Host, body: &[u8], sending: Sending, is_chunked: bool) -> Option<u16> {
-    let (_, head) = request_head("POST", PATH, TIME_BUDGET_MS);
+    let method = if sending == Sending::Page { "GET" } else { "POST" };
+    let (_, head) = request_head(method, sending.path(), TIME_BUDGET_MS);
     let mut stream = connect(host).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     let mut input = BufReader::new(stream.try_clone().ok()?);
@@ -135,9 +166,14 @@
             let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n", body.len());
             return stream.write_all(&[start.as_bytes(), body, b"\r\n0\r\n\r\n"].concat());
         }
+        if sending == Sending::Page {
+            return stream.write_all(format!("{head}\r\n").as_bytes());
+        }
         let start = format!("{head}Content-Length: {}\r\n\r\n", body.len());
         match sending {
-            Sending::Framings => stream.write_all(&[start.as_bytes(), body].concat()),
+            Sending::Page | Sending::Framings => {
+                stream.write_all(&[start.as_bytes(), body].concat())
+            }
             Sending::Pieces => {
                 stream.write_all(start.as_bytes())?;
                 for piece in body.chunks(PIECE_BYTES) {
--- a/review/rig-3/src/server.rs
+++ b/review/rig-3/src/server.rs
@@ -10,7 +10,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -49,8 +48,6 @@
     lifetime: AtomicU64,
     is_down: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
-    /// Requests that the server runs or has in its queue.
-    pub held: AtomicUsize,
 }
 
 impl Server {
@@ -75,7 +72,6 @@
             lifetime: AtomicU64::new(0),
             is_down: AtomicBool::new(false),
             streams: Mutex::default(),
-            held: AtomicUsize::new(0),
         });
         server.clone().listen(listener);
         server.register();
@@ -181,16 +177,20 @@
         }
     }
 
-    /// Takes a place in the slots or the queue, which holds three requests for each slot; `false` if the server is full.
-    pub fn take_place(&self) -> bool {
-        let room = self.slots * 4;
-        let taken = self.held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |held| {
-            (held < room).then_some(held + 1)
-        });
-        taken.is_ok()
-    }
-
-    pub fn leave_place(&self) {
-        self.held.fetch_sub(1, Ordering::SeqCst);
+    /// Writes a successful answer of that length up to a part of it. Returns whether that was written.
+    pub fn answer_part(
+        &self,
+        output: &mut TcpStream,
+        head: &Head,
+        length: usize,
+        part: usize,
+    ) -> bool {
+        let id = head.get("x-attempt-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: {}.{id}\r\n\
+             content-length: {length}\r\n\r\n",
+            self.id()
+        );
+        output.write_all(head.as_bytes()).and_then(|()| output.write_all(&vec![b'p'; part])).is_ok()
     }
 }
