Review case 14: several hosts keep a tenant's tokens after a restart

Cause: hosts that wait for the store longer than the settle time of their process count only hosts that they know to serve as keepers, and all begin to serve at once.

Done: a script with ten machines in three regions, killed and started again while the store is silent for 4.5 s, beside a hot tenant.

--- a/review/rig-3/src/deployment.rs
+++ b/review/rig-3/src/deployment.rs
@@ -9,7 +9,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use crate::host::DOMAINS;
+use crate::host::Domains;
 use crate::host::Host;
 use crate::host::prepare_hosts;
 use crate::server::Server;
@@ -19,36 +19,78 @@
 /// Services with the slots of each of their servers, as on the sheet of `velorio-vivo`.
 const SERVICES: [(&str, usize); 3] = [("memoriales", 6), ("reservas", 3), ("grabaciones", 6)];
 const SERVERS_PER_SERVICE: usize = 12;
+/// Failure domains of one region of the sheet, and of all three.
+const ONE_REGION: [(&str, &str); 2] = [("heredia-a", "heredia"), ("heredia-b", "heredia")];
+const ALL_REGIONS: [(&str, &str); 6] = [
+    ("heredia-a", "heredia"),
+    ("liberia-a", "liberia"),
+    ("limon-a", "limon"),
+    ("heredia-b", "heredia"),
+    ("liberia-b", "liberia"),
+    ("limon-b", "limon"),
+];
+
+/// Quota of the tenant; it has none if both are 0.
+#[derive(Clone, Copy, Default)]
+pub struct Quota {
+    pub rate_per_s: u64,
+    pub burst: u64,
+}
 
 pub struct Deployment {
+    pub store: Arc<Store>,
     pub _servers: Vec<Arc<Server>>,
     pub hosts: Vec<Host>,
 }
 
 impl Deployment {
-    /// Starts store, servers and hosts. The files of the hosts go to `folder`.
+    /// Starts store, servers and hosts in one region. The files of the hosts go to `folder`.
     pub fn start(folder: &Path, hosts: usize, work: &Work) -> Result<Self, String> {
+        Self::start_in(&ONE_REGION, folder, hosts, Quota::default(), work)
+    }
+
+    /// Starts store, servers and hosts in three regions, and waits for all of them.
+    pub fn start_large(
+        folder: &Path,
+        hosts: usize,
+        quota: Quota,
+        work: &Work,
+    ) -> Result<Self, String> {
+        Self::start_in(&ALL_REGIONS, folder, hosts, quota, work)
+    }
+
+    fn start_in(
+        domains: &Domains,
+        folder: &Path,
+        hosts: usize,
+        quota: Quota,
+        work: &Work,
+    ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let store = Store::start(SocketAddr::from(([127, 0, 0, 1], 0))).map_err(text)?;
-        store.put("config", "main", &config());
+        store.put("config", "main", &config(quota));
         let mut servers = Vec::new();
         for (service, slots) in SERVICES {
             for place in 0..SERVERS_PER_SERVICE {
-                let zone = DOMAINS[place % DOMAINS.len()].0;
+                let zone = domains[place % domains.len()].0;
                 let number = servers.len() + 1;
                 let server = Server::start(number, service, zone, slots, &store, Arc::clone(work));
                 servers.push(server.map_err(text)?);
             }
         }
-        let mut hosts = prepare_hosts(folder, hosts, store.address)?;
-        for host in &mut hosts {
-            host.start()?;
-        }
-        Ok(Self { _servers: servers, hosts })
+        let mut hosts = prepare_hosts(folder, hosts, domains, store.address)?;
+        start_all(&mut hosts)?;
+        Ok(Self { store, _servers: servers, hosts })
     }
 }
 
-fn config() -> String {
+/// Starts hosts and waits until all of them say that they are ready.
+pub fn start_all(hosts: &mut [Host]) -> Result<(), String> {
+    hosts.iter_mut().try_for_each(Host::spawn)?;
+    hosts.iter().try_for_each(Host::wait_ready)
+}
+
+fn config(quota: Quota) -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, timeout: u32| {
         format!(
             "{{\"resource_kind\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"spec\":{{\
@@ -72,11 +114,12 @@
         route("r-archivo", "/archivo/", "idempotent", "grabaciones", 8_000),
     ];
     resources.extend(SERVICES.iter().map(|(name, _)| service(name)));
-    resources.push(
-        "{\"resource_kind\":\"tenants\",\"metadata\":{\"name\":\"parroquia\"},\"spec\":{\
-         \"api_keys\":[\"clave-1\"],\"priority\":1,\"rate_per_s\":0,\"burst\":0,\"allowed_regions\":[]}}"
-            .into(),
-    );
+    let Quota { rate_per_s, burst } = quota;
+    resources.push(format!(
+        "{{\"resource_kind\":\"tenants\",\"metadata\":{{\"name\":\"parroquia\"}},\"spec\":{{\
+         \"api_keys\":[\"clave-1\"],\"priority\":1,\"rate_per_s\":{rate_per_s},\"burst\":{burst},\
+         \"allowed_regions\":[]}}}}"
+    ));
     resources.push(
         "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\
          \"max_body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
--- a/review/rig-3/src/host.rs
+++ b/review/rig-3/src/host.rs
@@ -23,8 +23,8 @@
 const MAX_DESCRIPTORS: u64 = 4_100;
 const START_LIMIT: Duration = Duration::from_secs(15);
 
-/// Failure domains of the deployment with their regions.
-pub const DOMAINS: [(&str, &str); 2] = [("heredia-a", "heredia"), ("heredia-b", "heredia")];
+/// Failure domains with their regions.
+pub type Domains = [(&'static str, &'static str)];
 
 /// A host of the system on a loopback address of its own. Dropping it ends the process.
 pub struct Host {
@@ -42,8 +42,8 @@
         SocketAddr::new(self.ip, 8206)
     }
 
-    /// Starts the process and waits until it says that it is ready.
-    pub fn start(&mut self) -> Result<(), String> {
+    /// Starts the process.
+    pub fn spawn(&mut self) -> Result<(), String> {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.map_err(|error| error.to_string())?;
         let process = Command::new(&self.program)
@@ -54,6 +54,11 @@
             .spawn()
             .map_err(|error| format!("{}: {error}", self.program))?;
         self.process = Some(process);
+        Ok(())
+    }
+
+    /// Waits until the process says that it is ready.
+    pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + START_LIMIT;
         while Instant::now() < end {
             if self.is_ready() {
@@ -91,6 +96,7 @@
 pub fn prepare_hosts(
     folder: &std::path::Path,
     count: usize,
+    domains: &Domains,
     store: SocketAddr,
 ) -> Result<Vec<Host>, String> {
     let read = |path: &str| fs::read_to_string(path).map_err(|error| format!("{path}: {error}"));
@@ -99,18 +105,18 @@
     let run = run.ok_or("deploy/system.toml has no run line")?;
     let ips = free_addresses(count)?;
     let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:8200\"")).collect();
-    let domains: Vec<String> =
-        DOMAINS.iter().map(|(name, region)| format!("\"{name}\":\"{region}\"")).collect();
+    let zones: Vec<String> =
+        domains.iter().map(|(name, region)| format!("\"{name}\":\"{region}\"")).collect();
     let mut hosts = Vec::new();
     for (index, ip) in ips.into_iter().enumerate() {
-        let (zone, region) = DOMAINS[index % DOMAINS.len()];
-        let name = format!("edge-{zone}-{}", index / DOMAINS.len() + 1);
+        let (zone, region) = domains[index % domains.len()];
+        let name = format!("edge-{zone}-{}", index / domains.len() + 1);
         let text = |value: &str| format!("\"{value}\"");
         let fields = [
             ("node_name|json", text(&name)),
             ("zone|json", text(zone)),
             ("region|json", text(region)),
-            ("zones|json", format!("{{{}}}", domains.join(","))),
+            ("zones|json", format!("{{{}}}", zones.join(","))),
             ("listen_addrs.frontend|json", text(&format!("{ip}:8206"))),
             ("listen_addrs.directory|json", text(&format!("{ip}:8209"))),
             ("listen_addrs.readiness|json", text(&format!("{ip}:8201"))),
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod pipelines;
 mod poison;
+mod quota;
 mod record;
 mod server;
 mod store;
@@ -27,6 +28,7 @@
     let case: Case = match &*name {
         "poison" => poison::play_pieces,
         "answers" => poison::play_answers,
+        "quota" => quota::play,
         "framings" => poison::play_framings,
         "pipelines" => pipelines::play,
         _ => {
--- a/review/rig-3/src/store.rs
+++ b/review/rig-3/src/store.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +26,8 @@
 
 /// A store that answers at once and loses nothing.
 pub struct Store {
+    /// Whether the store takes calls and answers none.
+    pub is_silent: AtomicBool,
     objects: Mutex<Objects>,
     changed: Condvar,
     pub address: SocketAddr,
@@ -34,8 +38,12 @@
         let listener = TcpListener::bind(address)?;
         let objects = Objects { revision: 100, ..Objects::default() };
         let address = listener.local_addr()?;
-        let store =
-            Arc::new(Self { objects: Mutex::new(objects), changed: Condvar::new(), address });
+        let store = Arc::new(Self {
+            is_silent: AtomicBool::new(false),
+            objects: Mutex::new(objects),
+            changed: Condvar::new(),
+            address,
+        });
         let served = Arc::clone(&store);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -74,6 +82,12 @@
         let mut input = BufReader::new(stream);
         while let Ok(Some(head)) = Head::read(&mut input) {
             let Ok(body) = head.read_body(&mut input) else { return };
+            if self.is_silent.load(Ordering::SeqCst) {
+                while self.is_silent.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                return;
+            }
             let (status, answer) = self.answer(&head, &String::from_utf8_lossy(&body));
             let text = format!(
                 "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{answer}",
