--- a/review/rig-3/src/quota.rs
+++ b/review/rig-3/src/quota.rs
@@ -23,20 +23,20 @@
 use crate::server::Work;
 
 const MACHINES: usize = 10;
-const QUOTA: Quota = Quota { rate_per_s: 240, burst: 60 };
+const QUOTA: Quota = Quota { rate_per_s: 400, burst: 125 };
 /// `quota_window_s`, `quota_overage` and `quota_slack` of the sheet.
 const WINDOW: Duration = Duration::from_secs(5);
 const OVERAGE: f64 = 0.1;
 const SLACK: f64 = 20.0;
 /// Requests of a client in a second. The usual traffic of a tenant is its quota divided by `quota_x`.
 const CLIENT_RATE: usize = 10;
-const USUAL_CLIENTS: usize = 15;
+const USUAL_CLIENTS: usize = 25;
 /// `hot_tenant`: `x` 7.5 for 6.5 s.
 const HOT_CLIENTS: usize = USUAL_CLIENTS * 15 / 2;
 const HOT_TIME: Duration = Duration::from_millis(6_500);
-/// `herd_kill`: all machines for 1 s; `platform_down`: silent for 4.5 s.
+/// `herd_kill`: all machines for 1 s; `platform_down`: silent for 4.2 s, 4.5 at most.
 const DOWN_TIME: Duration = Duration::from_secs(1);
-const SILENT_TIME: Duration = Duration::from_millis(4_500);
+const SILENT_TIME: Duration = Duration::from_millis(4_200);
 /// Time before the hot time that is left of the silence.
 const LEAD_TIME: Duration = Duration::from_millis(500);
 const CALM_TIME: Duration = Duration::from_secs(8);
@@ -135,7 +135,8 @@
         }
         let began_at = Instant::now();
         let connection = kept.take().or_else(|| {
-            let stream = std::net::TcpStream::connect_timeout(&host, Duration::from_secs(1)).ok()?;
+            let stream =
+                std::net::TcpStream::connect_timeout(&host, Duration::from_secs(1)).ok()?;
             stream.set_nodelay(true).ok()?;
             stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
             Some(BufReader::new(stream))
